--- /dev/null
+++ b/connection/messenger/codec.go
@@ -0,0 +1,153 @@
+package messenger
+
+import (
+	"time"
+
+	"sassafraspass.dev/sassafraspass/connection/messenger/peerv1"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/confirmer"
+	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/request/limiter"
+)
+
+// neverRead stands for confirmer.Never on the wire.
+const neverRead = -1
+
+func encodeBeat(b heartbeater.Beat) *peerv1.Beat {
+	msg := &peerv1.Beat{
+		Incarnation:     string(b.Incarnation),
+		Vm:              string(b.VM),
+		Zone:            string(b.Zone),
+		PeerAddress:     string(b.Peer),
+		CallerAddress:   string(b.Caller),
+		OperatorAddress: string(b.Operator),
+		State:           string(b.State),
+		Drained:         b.Drained,
+		Version:         int64(b.Version),
+		Epoch:           int64(b.Epoch),
+		LogAgeMs:        encodeAge(b.LogAge),
+		Heard:           toStrings(b.Heard),
+		Resumed:         toStrings(b.Resumed),
+	}
+	for _, load := range b.Loads {
+		msg.Loads = append(msg.Loads, &peerv1.EngineLoad{
+			Upstream: string(load.Upstream),
+			Running:  int64(load.Running),
+			Tokens:   int64(load.Tokens),
+		})
+	}
+	return msg
+}
+
+func decodeBeat(msg *peerv1.Beat) heartbeater.Beat {
+	b := heartbeater.Beat{
+		Incarnation: identifier.Incarnation(msg.GetIncarnation()),
+		VM:          identifier.VMName(msg.GetVm()),
+		Zone:        identifier.ZoneName(msg.GetZone()),
+		Peer:        identifier.Address(msg.GetPeerAddress()),
+		Caller:      identifier.Address(msg.GetCallerAddress()),
+		Operator:    identifier.Address(msg.GetOperatorAddress()),
+		State:       heartbeater.State(msg.GetState()),
+		Drained:     msg.GetDrained(),
+		Version:     identifier.Offset(msg.GetVersion()),
+		Epoch:       identifier.Offset(msg.GetEpoch()),
+		LogAge:      decodeAge(msg.GetLogAgeMs()),
+		Heard:       fromStrings[identifier.Incarnation](msg.GetHeard()),
+		Resumed:     fromStrings[identifier.AttemptID](msg.GetResumed()),
+	}
+	for _, load := range msg.GetLoads() {
+		b.Loads = append(b.Loads, heartbeater.EngineLoad{
+			Upstream: identifier.UpstreamName(load.GetUpstream()),
+			Running:  int(load.GetRunning()),
+			Tokens:   identifier.Tokens(load.GetTokens()),
+		})
+	}
+	return b
+}
+
+// encodeAge rounds up, so that a confirmation never looks younger than it is.
+func encodeAge(age time.Duration) int64 {
+	if age == confirmer.Never {
+		return neverRead
+	}
+	return age.Milliseconds() + 1
+}
+
+func decodeAge(millis int64) time.Duration {
+	if millis == neverRead {
+		return confirmer.Never
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+func encodeBorrow(req limiter.BorrowRequest) *peerv1.BorrowRequest {
+	return &peerv1.BorrowRequest{
+		Incarnation:     string(req.Borrower),
+		Epoch:           int64(req.Epoch),
+		Workspace:       string(req.Workspace),
+		Sequence:        req.Sequence,
+		WantTokens:      int64(req.WantTokens),
+		DemandPerSecond: req.Demand,
+		ShareParts:      int64(req.Share),
+	}
+}
+
+func decodeBorrow(msg *peerv1.BorrowRequest) limiter.BorrowRequest {
+	return limiter.BorrowRequest{
+		Borrower:   identifier.Incarnation(msg.GetIncarnation()),
+		Epoch:      identifier.Offset(msg.GetEpoch()),
+		Workspace:  identifier.WorkspaceName(msg.GetWorkspace()),
+		Sequence:   msg.GetSequence(),
+		WantTokens: identifier.Tokens(msg.GetWantTokens()),
+		Demand:     msg.GetDemandPerSecond(),
+		Share:      identifier.Parts(msg.GetShareParts()),
+	}
+}
+
+func encodeJournal(j Journal) *peerv1.JournalRequest {
+	msg := &peerv1.JournalRequest{
+		Incarnation: string(j.Incarnation),
+		Whole:       j.Whole,
+		Ended:       toStrings(j.Ended),
+	}
+	for _, attempt := range j.Begun {
+		msg.Begun = append(msg.Begun, &peerv1.JournalEntry{
+			Attempt:  string(attempt.ID),
+			Upstream: string(attempt.Upstream),
+			Address:  string(attempt.Address),
+		})
+	}
+	return msg
+}
+
+func decodeJournal(msg *peerv1.JournalRequest) Journal {
+	j := Journal{
+		Incarnation: identifier.Incarnation(msg.GetIncarnation()),
+		Whole:       msg.GetWhole(),
+		Ended:       fromStrings[identifier.AttemptID](msg.GetEnded()),
+	}
+	for _, entry := range msg.GetBegun() {
+		j.Begun = append(j.Begun, Attempt{
+			ID:       identifier.AttemptID(entry.GetAttempt()),
+			Upstream: identifier.UpstreamName(entry.GetUpstream()),
+			Address:  identifier.Address(entry.GetAddress()),
+		})
+	}
+	return j
+}
+
+func toStrings[T ~string](values []T) []string {
+	out := make([]string, 0, len(values))
+	for _, value := range values {
+		out = append(out, string(value))
+	}
+	return out
+}
+
+func fromStrings[T ~string](values []string) []T {
+	out := make([]T, 0, len(values))
+	for _, value := range values {
+		out = append(out, T(value))
+	}
+	return out
+}
--- /dev/null
+++ b/connection/messenger/server.go
@@ -0,0 +1,83 @@
+package messenger
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"sassafraspass.dev/sassafraspass/connection/messenger/peerv1"
+	"sassafraspass.dev/sassafraspass/connection/messenger/peerv1/peerv1connect"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/request/limiter"
+	"sassafraspass.dev/sassafraspass/version/folder"
+)
+
+// Server answers other daemons.
+type Server struct {
+	// Heartbeat takes a peer's beat and returns this daemon's own.
+	Heard func(beat heartbeater.Beat) heartbeater.Beat
+	// Lend answers a borrower.
+	Lend func(req limiter.BorrowRequest) limiter.BorrowResponse
+	// Journalled takes what a peer tells its buddy.
+	Journalled func(journal Journal)
+	// Config returns what this daemon knows above a version.
+	Config func(above identifier.Offset) Config
+}
+
+// Handler returns the path and the handler of the peer protocol.
+func (s *Server) Handler() (path string, handler http.Handler) {
+	return peerv1connect.NewPeerHandler(&rpc{server: s}, connect.WithReadMaxBytes(maxMessageBytes))
+}
+
+// rpc turns the protocol's messages into those of the daemon.
+type rpc struct {
+	server *Server
+}
+
+// Heartbeat answers peer.v1.Peer.Heartbeat.
+func (r *rpc) Heartbeat(_ context.Context, req *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error) {
+	own := r.server.Heard(decodeBeat(req.Msg.GetBeat()))
+	return connect.NewResponse(&peerv1.HeartbeatResponse{Beat: encodeBeat(own)}), nil
+}
+
+// Borrow answers peer.v1.Peer.Borrow.
+func (r *rpc) Borrow(_ context.Context, req *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error) {
+	answer := r.server.Lend(decodeBorrow(req.Msg))
+	return connect.NewResponse(&peerv1.BorrowResponse{
+		Epoch:     int64(answer.Epoch),
+		Parts:     int64(answer.Parts),
+		Tokens:    answer.Tokens,
+		LeftParts: int64(answer.Left),
+	}), nil
+}
+
+// Journal answers peer.v1.Peer.Journal.
+func (r *rpc) Journal(_ context.Context, req *connect.Request[peerv1.JournalRequest]) (*connect.Response[peerv1.JournalResponse], error) {
+	r.server.Journalled(decodeJournal(req.Msg))
+	return connect.NewResponse(&peerv1.JournalResponse{}), nil
+}
+
+// FetchConfig answers peer.v1.Peer.FetchConfig.
+func (r *rpc) FetchConfig(_ context.Context, req *connect.Request[peerv1.FetchConfigRequest]) (*connect.Response[peerv1.FetchConfigResponse], error) {
+	config := r.server.Config(identifier.Offset(req.Msg.GetAbove()))
+	msg := &peerv1.FetchConfigResponse{}
+	for _, record := range config.Records {
+		msg.Records = append(msg.Records, &peerv1.ConfigRecord{Offset: int64(record.Offset), Data: record.Data})
+	}
+	if config.Version != nil {
+		version, err := folder.Marshal(config.Version)
+		if err != nil {
+			return nil, err
+		}
+		msg.Version = version
+	}
+	epoch, err := json.Marshal(config.Epoch)
+	if err != nil {
+		return nil, err
+	}
+	msg.Epoch = epoch
+	return connect.NewResponse(msg), nil
+}
--- /dev/null
+++ b/imitator/start.go
@@ -0,0 +1,28 @@
+package imitator
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+)
+
+const headerTimeout = 5 * time.Second
+
+// Serve answers HTTP at an address until the clean-up function is called.
+func Serve(address identifier.Address, handler http.Handler) (bound identifier.Address, cleanup func(), err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("serve stand-in: %w", err)
+		}
+	}()
+	l, err := net.Listen("tcp", string(address))
+	if err != nil {
+		return "", nil, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = server.Serve(l) }()
+	return identifier.Address(l.Addr().String()), func() { _ = server.Close() }, nil
+}
--- /dev/null
+++ b/process/allotter/allotter.go
@@ -0,0 +1,197 @@
+// Package allotter decides who holds shares of the limits. It proposes a new
+// epoch when a daemon joins or is proven gone, and lets the limiter use the
+// epoch's shares once all its members have entered it.
+package allotter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"sassafraspass.dev/sassafraspass/connection/appender"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/request/limiter"
+	"sassafraspass.dev/sassafraspass/version/epocher"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	// steadyFor is how long the wanted members stay the same before they are
+	// proposed, so that daemons that start together share one epoch.
+	steadyFor = 400 * time.Millisecond
+	// proposeEvery is the least time between two proposals of one daemon.
+	proposeEvery  = time.Second
+	appendTimeout = 2 * time.Second
+)
+
+// Allotter runs the epochs of one daemon.
+type Allotter struct {
+	Self    epocher.Member
+	Epocher *epocher.Epocher
+	Limiter *limiter.Limiter
+	Members *heartbeater.Members
+	// IsJoining reports whether this daemon wants to hold shares.
+	IsJoining func() bool
+	// IsCurrent reports whether the epoch is known to be the newest.
+	IsCurrent func() bool
+	// Append adds a proposal to the log.
+	Append func(ctx context.Context, stream identifier.StreamName, data []byte) (identifier.Offset, error)
+	// Removed is told that the epoch left this daemon out against its will.
+	Removed func()
+
+	Clock clockwork.Clock
+	Log   *slog.Logger
+
+	wanted      []epocher.Member
+	wantedSince time.Time
+	proposedAt  time.Time
+	wasMember   bool
+}
+
+// Run settles and proposes epochs until the context ends.
+func (a *Allotter) Run(ctx context.Context) error {
+	ticker := a.Clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		a.Step(ctx)
+	}
+}
+
+// Step settles the epoch where it may, and proposes another where one is due.
+func (a *Allotter) Step(ctx context.Context) {
+	epoch := a.Epocher.Current()
+	if a.checkRemoval(epoch) {
+		return
+	}
+	if a.isEntered(epoch) {
+		a.Limiter.Settle(epoch.Number)
+	}
+	if !a.isDue(epoch) {
+		return
+	}
+	a.proposedAt = a.Clock.Now()
+	err := a.propose(ctx, epoch)
+	if err != nil {
+		a.Log.Warn("Cannot propose an epoch.", "err", err)
+	}
+}
+
+// checkRemoval reports whether this daemon was left out of the epoch.
+func (a *Allotter) checkRemoval(epoch epocher.Epoch) bool {
+	isMember := epoch.Has(a.Self.Incarnation)
+	removed := a.wasMember && !isMember && a.IsJoining()
+	a.wasMember = a.wasMember || isMember
+	if removed {
+		a.Log.Error("This daemon was removed from the epoch.", "epoch", epoch.Number)
+		a.Removed()
+	}
+	return removed
+}
+
+// isEntered reports whether all members are known to have entered the epoch,
+// so that none spends shares of an earlier one.
+func (a *Allotter) isEntered(epoch epocher.Epoch) bool {
+	if !epoch.Has(a.Self.Incarnation) || a.Limiter.Epoch() != epoch.Number {
+		return false
+	}
+	for _, member := range epoch.Members {
+		if member.Incarnation == a.Self.Incarnation {
+			continue
+		}
+		peer, heard := a.Members.Find(member.Incarnation)
+		if !heard || peer.Epoch < epoch.Number {
+			return false
+		}
+	}
+	return true
+}
+
+// isDue reports whether the wanted members differ from the epoch's, have been
+// the same for a while, and this daemon is the one to propose them.
+func (a *Allotter) isDue(epoch epocher.Epoch) bool {
+	now := a.Clock.Now()
+	wanted := a.want(epoch)
+	if !slices.Equal(wanted, a.wanted) {
+		a.wanted = wanted
+		a.wantedSince = now
+	}
+	if len(wanted) == 0 || slices.Equal(wanted, epoch.Members) {
+		return false
+	}
+	isSteady := now.Sub(a.wantedSince) >= steadyFor
+	isPaused := now.Sub(a.proposedAt) < proposeEvery
+	return isSteady && !isPaused && a.isProposer() && a.IsCurrent()
+}
+
+// isProposer reports whether this daemon is the first of the live ones. Others
+// proposing too would do no harm, as the log orders the proposals.
+func (a *Allotter) isProposer() bool {
+	live := a.Members.Live()
+	return len(live) == 0 || a.Self.Incarnation < live[0].Incarnation
+}
+
+// want returns the members that the epoch should have.
+func (a *Allotter) want(epoch epocher.Epoch) []epocher.Member {
+	var wanted []epocher.Member
+	for _, member := range epoch.Members {
+		if !a.isGone(member) {
+			wanted = append(wanted, member)
+		}
+	}
+	for _, peer := range a.Members.Live() {
+		joining := peer.State == heartbeater.StateServing && !peer.Drained
+		if joining && !epoch.Has(peer.Incarnation) {
+			wanted = append(wanted, epocher.Member{Incarnation: peer.Incarnation, VM: peer.VM, Peer: peer.Peer})
+		}
+	}
+	if a.IsJoining() && !epoch.Has(a.Self.Incarnation) && !a.wasMember {
+		wanted = append(wanted, a.Self)
+	}
+	slices.SortFunc(wanted, func(x, y epocher.Member) int {
+		if x.Incarnation < y.Incarnation {
+			return -1
+		}
+		return 1
+	})
+	return wanted
+}
+
+func (a *Allotter) isGone(member epocher.Member) bool {
+	if member.Incarnation == a.Self.Incarnation {
+		return a.Limiter.IsDrained()
+	}
+	return a.Members.Proof(member) != heartbeater.ProofNone
+}
+
+func (a *Allotter) propose(ctx context.Context, epoch epocher.Epoch) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("propose after epoch %d: %w", epoch.Number, err)
+		}
+	}()
+	for _, member := range epoch.Members {
+		proof := a.Members.Proof(member)
+		if proof != heartbeater.ProofNone {
+			a.Log.Info("A daemon is gone.", "vm", member.VM, "incarnation", member.Incarnation, "proof", proof)
+		}
+	}
+	data, err := json.Marshal(epocher.Proposal{BasedOn: epoch.Number, Members: a.wanted})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err = a.Append(ctx, appender.StreamEpochs, data)
+	return err
+}
--- /dev/null
+++ b/process/commander/operate.go
@@ -0,0 +1,151 @@
+package commander
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sassafraspass.dev/sassafraspass/connection/appender"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/server"
+	"sassafraspass.dev/sassafraspass/version/parser"
+	"sassafraspass.dev/sassafraspass/version/publisher"
+)
+
+const (
+	defaultTimeout = 30 * time.Second
+	statusTimeout  = 3 * time.Second
+	maxStatusBytes = 16 << 20
+	keyPrefix      = "sp-"
+)
+
+// publishFlags are the flags of the publish command.
+type publishFlags struct {
+	log      string
+	newKey   string
+	withdraw string
+	timeout  time.Duration
+}
+
+func (c *Commander) publish() *ffcli.Command {
+	flags := flag.NewFlagSet("publish", flag.ContinueOnError)
+	var f publishFlags
+	flags.StringVar(&f.log, "log", "", "the `address` of the platform's log service")
+	flags.StringVar(&f.newKey, "new-key", "", "make a key for a `workspace` and print it once")
+	flags.StringVar(&f.withdraw, "withdraw", "", "withdraw the key of a `digest`")
+	flags.DurationVar(&f.timeout, "timeout", defaultTimeout, "how long to wait until the change is in force")
+	return c.command("publish", "change the configuration", flags, func(ctx context.Context, args []string) error {
+		if f.log == "" {
+			return fmt.Errorf("%w: -log is missing", errUsage)
+		}
+		pub, key, err := f.publication(args)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(ctx, f.timeout)
+		defer cancel()
+		version, err := Publish(ctx, identifier.Address(f.log), pub)
+		if key != "" && version >= 0 {
+			_, _ = fmt.Fprintln(c.out, "key", key)
+			_, _ = fmt.Fprintln(c.out, "digest", identifier.Digest(key))
+		}
+		if err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintln(c.out, "version", version, "is in force")
+		return nil
+	})
+}
+
+// publication reads the file or makes a publication from the flags.
+func (f publishFlags) publication(args []string) (pub *parser.Publication, key string, err error) {
+	switch {
+	case f.newKey != "":
+		key = keyPrefix + rand.Text()
+		digest := identifier.Digest(key)
+		workspace := identifier.WorkspaceName(f.newKey)
+		return &parser.Publication{Keys: []parser.Key{{Digest: digest, Workspace: workspace}}}, key, nil
+	case f.withdraw != "":
+		return &parser.Publication{Withdrawals: []identifier.KeyDigest{identifier.KeyDigest(f.withdraw)}}, "", nil
+	case len(args) != 1:
+		return nil, "", fmt.Errorf("%w: name one file to publish", errUsage)
+	}
+	pub, err = readPublication(args[0])
+	return pub, "", err
+}
+
+// Publish publishes through the log at an address and waits until all daemons
+// have the version in force. The version is -1 where none was accepted.
+func Publish(ctx context.Context, log identifier.Address, pub *parser.Publication) (version identifier.Offset, err error) {
+	client, cleanup := appender.NewClient(log)
+	defer cleanup()
+	p := &publisher.Publisher{
+		Read:      client.Read,
+		Append:    client.Append,
+		VMs:       client.VMs,
+		VersionOf: versionOf,
+		Clock:     clockwork.NewRealClock(),
+	}
+	version, err = p.Publish(ctx, pub)
+	if err != nil {
+		return identifier.NoOffset, err
+	}
+	return version, p.AwaitForce(ctx, version)
+}
+
+func versionOf(ctx context.Context, operator identifier.Address) (version identifier.Offset, err error) {
+	raw, err := readStatus(ctx, operator)
+	if err != nil {
+		return 0, err
+	}
+	var status server.Status
+	err = json.Unmarshal(raw, &status)
+	return status.Version, err
+}
+
+func readStatus(ctx context.Context, operator identifier.Address) (raw []byte, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("ask the daemon at %s: %w", operator, err)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(operator)+server.PathStatus, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
+}
+
+func (c *Commander) status() *ffcli.Command {
+	flags := flag.NewFlagSet("status", flag.ContinueOnError)
+	operators := flags.String("operators", "", "the `address` of a daemon's operators' listener")
+	return c.command("status", "ask a daemon what it knows", flags, func(ctx context.Context, _ []string) error {
+		if *operators == "" {
+			return fmt.Errorf("%w: -operators is missing", errUsage)
+		}
+		raw, err := readStatus(ctx, identifier.Address(*operators))
+		if err != nil {
+			return err
+		}
+		_, err = c.out.Write(raw)
+		return err
+	})
+}
--- /dev/null
+++ b/process/configurer/configurer.go
@@ -0,0 +1,121 @@
+// Package configurer reads a daemon's settings file, which is JSON with
+// comments.
+package configurer
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"time"
+
+	"sassafraspass.dev/sassafraspass/decoder"
+	"sassafraspass.dev/sassafraspass/identifier"
+)
+
+// Assertion tells what a violated invariant does.
+type Assertion string
+
+// The ways to meet a violated invariant.
+const (
+	// AssertCount counts and logs it.
+	AssertCount Assertion = "count"
+	// AssertFatal ends the process, for tests.
+	AssertFatal Assertion = "fatal"
+)
+
+// Settings are what a daemon is told when it starts.
+type Settings struct {
+	// VM is the name under which the platform lists this machine.
+	VM   identifier.VMName   `json:"vm"`
+	Zone identifier.ZoneName `json:"zone"`
+	// Callers, Peers and Operators are the addresses to listen on.
+	Callers   identifier.Address `json:"callers"`
+	Peers     identifier.Address `json:"peers"`
+	Operators identifier.Address `json:"operators"`
+	// Log is the address of the platform's log service.
+	Log identifier.Address `json:"log"`
+	// Seeds are peers to try while the platform's list is out.
+	Seeds []identifier.Address `json:"seeds"`
+	// EntryMaxAge is how long callers may keep an answer of /v1/entry.
+	EntryMaxAge time.Duration `json:"entry-max-age"`
+	// SnapshotInterval is the time between two snapshots of the configuration;
+	// it must be well under the log's retention.
+	SnapshotInterval time.Duration `json:"snapshot-interval"`
+	LogLevel         slog.Level    `json:"log-level"`
+	Assertion        Assertion     `json:"assertion"`
+}
+
+const (
+	defaultEntryMaxAge      = 5 * time.Second
+	defaultSnapshotInterval = 10 * time.Minute
+	maxEntryMaxAge          = 10 * time.Minute
+)
+
+// Load reads and checks a settings file. Errors in it are of type
+// *decoder.FieldError.
+func Load(path string) (settings Settings, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return settings, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse checks the text of a settings file.
+func Parse(file string, text []byte) (settings Settings, err error) {
+	settings = Settings{
+		EntryMaxAge:      defaultEntryMaxAge,
+		SnapshotInterval: defaultSnapshotInterval,
+		LogLevel:         slog.LevelInfo,
+		Assertion:        AssertCount,
+	}
+	doc, err := decoder.Decode(file, text, &settings)
+	if err != nil {
+		return settings, err
+	}
+	return settings, check(doc, settings)
+}
+
+func check(doc *decoder.Document, s Settings) error {
+	if s.VM == "" {
+		return doc.Fault("/vm", "must not be empty")
+	}
+	if s.Zone == "" {
+		return doc.Fault("/zone", "must not be empty")
+	}
+	addresses := []struct {
+		field   string
+		address identifier.Address
+	}{
+		{"/callers", s.Callers},
+		{"/peers", s.Peers},
+		{"/operators", s.Operators},
+		{"/log", s.Log},
+	}
+	for _, a := range addresses {
+		if !isAddress(a.address) {
+			return doc.Fault(a.field, "must be an IP address with a port, such as \"10.0.0.1:8080\"")
+		}
+	}
+	for i, seed := range s.Seeds {
+		if !isAddress(seed) {
+			return doc.Fault(fmt.Sprintf("/seeds/%d", i), "must be an IP address with a port")
+		}
+	}
+	if s.EntryMaxAge < time.Second || s.EntryMaxAge > maxEntryMaxAge {
+		return doc.Fault("/entry-max-age", "must be from %s to %s", time.Second, maxEntryMaxAge)
+	}
+	if s.SnapshotInterval < time.Second {
+		return doc.Fault("/snapshot-interval", "must be at least %s", time.Second)
+	}
+	if s.Assertion != AssertCount && s.Assertion != AssertFatal {
+		return doc.Fault("/assertion", "must be %q or %q", AssertCount, AssertFatal)
+	}
+	return nil
+}
+
+func isAddress(address identifier.Address) bool {
+	host, port, err := net.SplitHostPort(string(address))
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
--- /dev/null
+++ b/process/heartbeater/heartbeater.go
@@ -0,0 +1,150 @@
+// Package heartbeater exchanges heartbeats with the other daemons and reads
+// the platform's list of VMs, which names them.
+package heartbeater
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"sassafraspass.dev/sassafraspass/connection/appender"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/version/epocher"
+)
+
+const (
+	exchangeTimeout = time.Second
+	listInterval    = time.Second
+	listTimeout     = 2 * time.Second
+)
+
+// Heartbeater sends a beat to every other daemon in each interval.
+type Heartbeater struct {
+	Members *Members
+	// Self is the address that other daemons reach this one at.
+	Self identifier.Address
+	// Seeds are addresses of peers from the settings, beside the listed ones.
+	Seeds []identifier.Address
+	// Beat returns what this daemon says about itself.
+	Beat func() Beat
+	// Exchange sends a beat to an address and returns the peer's own.
+	Exchange func(ctx context.Context, address identifier.Address, beat Beat) (Beat, error)
+	// Received is told each beat that answered one sent at a time.
+	Received func(beat Beat, asked time.Time)
+	// ReadVMs reads the platform's list.
+	ReadVMs func(ctx context.Context) ([]appender.VM, error)
+	// Known returns the members of the epoch.
+	Known func() []epocher.Member
+
+	Clock clockwork.Clock
+	Log   *slog.Logger
+
+	mu   sync.Mutex
+	busy map[identifier.Address]bool
+}
+
+// Run sends heartbeats until the context ends.
+func (h *Heartbeater) Run(ctx context.Context) error {
+	h.busy = make(map[identifier.Address]bool)
+	var running sync.WaitGroup
+	defer running.Wait()
+	ticker := h.Clock.NewTicker(Interval)
+	defer ticker.Stop()
+	for {
+		for _, address := range h.addresses() {
+			running.Go(func() { h.exchange(ctx, address) })
+		}
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// RunList reads the platform's list until the context ends. A failed reading
+// changes nothing.
+func (h *Heartbeater) RunList(ctx context.Context) error {
+	for {
+		readCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		vms, err := h.ReadVMs(readCtx)
+		cancel()
+		if err == nil {
+			h.Members.Listed(vms, h.Known())
+		}
+		select {
+		case <-h.Clock.After(listInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// addresses returns the peers from the list, the settings, the epoch and the
+// beats so far, each once.
+func (h *Heartbeater) addresses() []identifier.Address {
+	seen := map[identifier.Address]bool{h.Self: true, "": true}
+	var addresses []identifier.Address
+	add := func(address identifier.Address) {
+		if seen[address] {
+			return
+		}
+		seen[address] = true
+		addresses = append(addresses, address)
+	}
+	for _, vm := range h.Members.VMs() {
+		add(vm.Peer)
+	}
+	for _, seed := range h.Seeds {
+		add(seed)
+	}
+	for _, member := range h.Known() {
+		add(member.Peer)
+	}
+	for _, member := range h.Members.Live() {
+		add(member.Peer)
+	}
+	return addresses
+}
+
+func (h *Heartbeater) exchange(ctx context.Context, address identifier.Address) {
+	if !h.begin(address) {
+		return
+	}
+	defer h.end(address)
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	asked := h.Clock.Now()
+	beat, err := h.Exchange(ctx, address, h.Beat())
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		h.Members.Refused(address, asked)
+	}
+	if err != nil {
+		return
+	}
+	h.Members.Answered(address, beat.Incarnation, asked)
+	h.Members.Heard(beat)
+	h.Received(beat, asked)
+}
+
+// begin reports whether no exchange with the address is running.
+func (h *Heartbeater) begin(address identifier.Address) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.busy[address] {
+		return false
+	}
+	h.busy[address] = true
+	return true
+}
+
+func (h *Heartbeater) end(address identifier.Address) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.busy, address)
+}
--- /dev/null
+++ b/process/journaler/journaler.go
@@ -0,0 +1,273 @@
+// Package journaler keeps each daemon's attempts at engines known to buddies
+// in other availability zones. When the daemon is proven gone, a buddy cancels
+// the attempts that no caller resumed, so that no engine memory stays held.
+package journaler
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+
+	"sassafraspass.dev/sassafraspass/connection/messenger"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/heartbeater"
+)
+
+const (
+	// buddies is how many daemons know the attempts of each.
+	buddies = 2
+	// beginTimeout bounds what the journal adds to a request.
+	beginTimeout = 100 * time.Millisecond
+	sendTimeout  = 500 * time.Millisecond
+	sendInterval = 50 * time.Millisecond
+)
+
+// Journaler tells buddies about this daemon's attempts.
+type Journaler struct {
+	Self identifier.Incarnation
+	Zone identifier.ZoneName
+	// Live returns the other live daemons.
+	Live func() []heartbeater.Member
+	// Send tells one buddy.
+	Send  func(ctx context.Context, address identifier.Address, journal messenger.Journal) error
+	Clock clockwork.Clock
+	Log   *slog.Logger
+
+	wake chan struct{}
+
+	mu sync.Mutex
+	// running holds this daemon's attempts, by id and engine.
+	running map[identifier.AttemptID][]messenger.Attempt
+	lines   map[identifier.Incarnation]*line
+	flushed chan struct{}
+}
+
+// line is what one buddy has not been told yet.
+type line struct {
+	whole bool
+	begun []messenger.Attempt
+	ended []identifier.AttemptID
+	busy  bool
+}
+
+// New returns a journaler without attempts.
+func New() *Journaler {
+	return &Journaler{
+		wake:    make(chan struct{}, 1),
+		running: make(map[identifier.AttemptID][]messenger.Attempt),
+		lines:   make(map[identifier.Incarnation]*line),
+		flushed: make(chan struct{}),
+	}
+}
+
+// Begin journals an attempt at one or two engines. It returns when a buddy
+// knows of it, or after a short time without one.
+func (j *Journaler) Begin(ctx context.Context, attempts ...messenger.Attempt) {
+	j.mu.Lock()
+	for _, attempt := range attempts {
+		j.running[attempt.ID] = append(j.running[attempt.ID], attempt)
+	}
+	for _, l := range j.lines {
+		l.begun = append(l.begun, attempts...)
+	}
+	j.mu.Unlock()
+	j.signal()
+	j.await(ctx, attempts)
+}
+
+// await waits until one buddy was told of the attempts.
+func (j *Journaler) await(ctx context.Context, attempts []messenger.Attempt) {
+	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	for {
+		known, flushed := j.isKnown(attempts)
+		if known {
+			return
+		}
+		select {
+		case <-flushed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// isKnown reports whether some buddy has nothing left to be told of the
+// attempts, or there is no buddy at all.
+func (j *Journaler) isKnown(attempts []messenger.Attempt) (known bool, flushed chan struct{}) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.lines) == 0 {
+		return true, nil
+	}
+	for _, l := range j.lines {
+		waits := l.whole || l.busy || slices.ContainsFunc(attempts, func(a messenger.Attempt) bool {
+			return slices.Contains(l.begun, a)
+		})
+		if !waits {
+			return true, nil
+		}
+	}
+	return false, j.flushed
+}
+
+// End removes an attempt that no engine holds any more.
+func (j *Journaler) End(attempt identifier.AttemptID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.end(attempt)
+}
+
+// Freed notes that one engine does not hold an attempt any more.
+func (j *Journaler) Freed(address identifier.Address, attempt identifier.AttemptID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	held := slices.DeleteFunc(j.running[attempt], func(a messenger.Attempt) bool { return a.Address == address })
+	if len(held) == 0 {
+		j.end(attempt)
+		return
+	}
+	j.running[attempt] = held
+}
+
+func (j *Journaler) end(attempt identifier.AttemptID) {
+	_, running := j.running[attempt]
+	if !running {
+		return
+	}
+	delete(j.running, attempt)
+	for _, l := range j.lines {
+		l.ended = append(l.ended, attempt)
+	}
+}
+
+// Running returns how many attempts are journalled.
+func (j *Journaler) Running() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.running)
+}
+
+func (j *Journaler) signal() {
+	select {
+	case j.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run tells the buddies until the context ends. What comes while a batch is
+// under way goes into the next one.
+func (j *Journaler) Run(ctx context.Context) error {
+	ticker := j.Clock.NewTicker(sendInterval)
+	defer ticker.Stop()
+	var senders sync.WaitGroup
+	defer senders.Wait()
+	for {
+		select {
+		case <-j.wake:
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		chosen := j.choose()
+		j.syncLines(chosen)
+		for _, buddy := range chosen {
+			journal, ok := j.take(buddy.Incarnation)
+			if ok {
+				senders.Go(func() { j.send(ctx, buddy, journal) })
+			}
+		}
+	}
+}
+
+// choose returns the buddies: by rendezvous hashing, those in other
+// availability zones first, each in a zone of its own where there are enough.
+func (j *Journaler) choose() []heartbeater.Member {
+	live := j.Live()
+	slices.SortFunc(live, func(a, b heartbeater.Member) int {
+		if weight(j.Self, a.Incarnation) < weight(j.Self, b.Incarnation) {
+			return -1
+		}
+		return 1
+	})
+	var chosen, rest []heartbeater.Member
+	zones := map[identifier.ZoneName]bool{j.Zone: true}
+	for _, peer := range live {
+		if zones[peer.Zone] {
+			rest = append(rest, peer)
+			continue
+		}
+		zones[peer.Zone] = true
+		chosen = append(chosen, peer)
+	}
+	chosen = append(chosen, rest...)
+	return chosen[:min(buddies, len(chosen))]
+}
+
+func weight(a, b identifier.Incarnation) uint64 {
+	return xxhash.Sum64String(string(a) + "/" + string(b))
+}
+
+// syncLines opens a line for each new buddy, with all that is running, and
+// drops those of former ones.
+func (j *Journaler) syncLines(chosen []heartbeater.Member) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	kept := make(map[identifier.Incarnation]*line)
+	for _, buddy := range chosen {
+		l, ok := j.lines[buddy.Incarnation]
+		if !ok {
+			l = &line{whole: true}
+		}
+		kept[buddy.Incarnation] = l
+	}
+	j.lines = kept
+}
+
+// take returns the next batch for a buddy and marks it as under way.
+func (j *Journaler) take(buddy identifier.Incarnation) (journal messenger.Journal, ok bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	l := j.lines[buddy]
+	isEmpty := !l.whole && len(l.begun) == 0 && len(l.ended) == 0
+	if l.busy || isEmpty {
+		return journal, false
+	}
+	journal = messenger.Journal{Incarnation: j.Self, Whole: l.whole, Begun: l.begun, Ended: l.ended}
+	if l.whole {
+		journal.Begun = j.all()
+		journal.Ended = nil
+	}
+	*l = line{busy: true}
+	return journal, true
+}
+
+func (j *Journaler) all() []messenger.Attempt {
+	var all []messenger.Attempt
+	for _, attempts := range j.running {
+		all = append(all, attempts...)
+	}
+	return all
+}
+
+// send tells one buddy. After a failure the buddy gets all anew.
+func (j *Journaler) send(ctx context.Context, buddy heartbeater.Member, journal messenger.Journal) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	err := j.Send(ctx, buddy.Peer, journal)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	l, ok := j.lines[buddy.Incarnation]
+	if ok {
+		l.busy = false
+		l.whole = l.whole || err != nil
+	}
+	close(j.flushed)
+	j.flushed = make(chan struct{})
+	j.signal()
+}
--- /dev/null
+++ b/process/meter/meter.go
@@ -0,0 +1,171 @@
+// Package meter counts what the daemon does and serves the counters on
+// /metrics through tally.
+package meter
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
+
+	"sassafraspass.dev/sassafraspass/refuser"
+)
+
+// RetryReason tells why an attempt was followed by another one.
+type RetryReason string
+
+// The reasons for a retry.
+const (
+	RetryConnect      RetryReason = "connect-failed"
+	RetryStatus       RetryReason = "upstream-error-status"
+	RetryPrefill      RetryReason = "prefill-failed"
+	RetryTransfer     RetryReason = "transfer-stalled"
+	RetryDecode       RetryReason = "decode-cut"
+	RetryAppend       RetryReason = "append-unconfirmed"
+	RetryCancel       RetryReason = "cancel-unconfirmed"
+	RetryBorrow       RetryReason = "borrow-unconfirmed"
+	RetryLogRead      RetryReason = "log-read-failed"
+	RetryBudgetIsGone RetryReason = "retry-budget-spent"
+)
+
+// Event names a counter that is neither a refusal nor a retry.
+type Event string
+
+// The events that are counted.
+const (
+	EventRequest         Event = "requests"
+	EventAnswer          Event = "answers"
+	EventToken           Event = "tokens"
+	EventStrayFrame      Event = "stray-frames"
+	EventBrokenRecord    Event = "broken-records"
+	EventRejectedRecord  Event = "rejected-records"
+	EventWastedPrefill   Event = "wasted-prefills"
+	EventPrefill         Event = "prefills"
+	EventOrphanCancelled Event = "orphans-cancelled"
+	EventViolation       Event = "invariant-violations"
+	EventKeyCut          Event = "requests-cut-by-withdrawal"
+	EventResume          Event = "resumed-streams"
+)
+
+const (
+	reportInterval = time.Second
+	metricPrefix   = "sassafraspass"
+)
+
+var retryReasons = []RetryReason{
+	RetryConnect, RetryStatus, RetryPrefill, RetryTransfer, RetryDecode,
+	RetryAppend, RetryCancel, RetryBorrow, RetryLogRead, RetryBudgetIsGone,
+}
+
+var events = []Event{
+	EventRequest, EventAnswer, EventToken, EventStrayFrame, EventBrokenRecord,
+	EventRejectedRecord, EventWastedPrefill, EventPrefill,
+	EventOrphanCancelled, EventViolation, EventKeyCut, EventResume,
+}
+
+// Meter counts refusals, retries and events.
+type Meter struct {
+	refusals map[refuser.Code]*counter
+	retries  map[RetryReason]*counter
+	events   map[Event]*counter
+}
+
+// counter keeps its sum beside tally's, for the status report.
+type counter struct {
+	tally tally.Counter
+	sum   atomic.Int64
+}
+
+func (c *counter) add(n int64) {
+	c.tally.Inc(n)
+	c.sum.Add(n)
+}
+
+// New returns a meter, the handler of /metrics and a clean-up function.
+func New() (m *Meter, handler http.Handler, cleanup func() error, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("open metrics: %w", err)
+		}
+	}()
+	registry := prometheus.NewRegistry()
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{Registerer: registry, Gatherer: registry})
+	options := tally.ScopeOptions{
+		Prefix:          metricPrefix,
+		CachedReporter:  reporter,
+		Separator:       tallyprometheus.DefaultSeparator,
+		SanitizeOptions: &tallyprometheus.DefaultSanitizerOpts,
+	}
+	scope, closer := tally.NewRootScope(options, reportInterval)
+	return newMeter(scope), reporter.HTTPHandler(), closer.Close, nil
+}
+
+// NewDetached returns a meter that reports nowhere, for tools and tests.
+func NewDetached() *Meter {
+	return newMeter(tally.NoopScope)
+}
+
+func newMeter(scope tally.Scope) *Meter {
+	m := &Meter{
+		refusals: make(map[refuser.Code]*counter),
+		retries:  make(map[RetryReason]*counter),
+		events:   make(map[Event]*counter),
+	}
+	for _, code := range refuser.Codes {
+		tagged := scope.Tagged(map[string]string{"code": string(code)})
+		m.refusals[code] = &counter{tally: tagged.Counter("refusals")}
+	}
+	for _, reason := range retryReasons {
+		tagged := scope.Tagged(map[string]string{"reason": string(reason)})
+		m.retries[reason] = &counter{tally: tagged.Counter("retries")}
+	}
+	for _, event := range events {
+		m.events[event] = &counter{tally: scope.Counter(string(event))}
+	}
+	return m
+}
+
+// Refusal counts one refusal.
+func (m *Meter) Refusal(code refuser.Code) { m.refusals[code].add(1) }
+
+// Retry counts one retry.
+func (m *Meter) Retry(reason RetryReason) { m.retries[reason].add(1) }
+
+// Event counts one event.
+func (m *Meter) Event(event Event) { m.events[event].add(1) }
+
+// Add counts n events.
+func (m *Meter) Add(event Event, n int64) { m.events[event].add(n) }
+
+// Sum returns how often an event was counted.
+func (m *Meter) Sum(event Event) int64 { return m.events[event].sum.Load() }
+
+// Report holds all counters that are not zero.
+type Report struct {
+	Refusals map[refuser.Code]int64 `json:"refusals"`
+	Retries  map[RetryReason]int64  `json:"retries"`
+	Events   map[Event]int64        `json:"events"`
+}
+
+// Report returns the counters so far.
+func (m *Meter) Report() Report {
+	return Report{
+		Refusals: nonzero(m.refusals),
+		Retries:  nonzero(m.retries),
+		Events:   nonzero(m.events),
+	}
+}
+
+func nonzero[K comparable](counters map[K]*counter) map[K]int64 {
+	sums := make(map[K]int64)
+	for key, c := range counters {
+		if n := c.sum.Load(); n > 0 {
+			sums[key] = n
+		}
+	}
+	return sums
+}
--- /dev/null
+++ b/process/server/server.go
@@ -0,0 +1,447 @@
+// Package server wires the parts of a daemon together.
+//
+//	callers ──> listener ──> admitter ──> limiter ──> scheduler ──> streamer ──> engines
+//	               │            (key)      (tokens)    (pair of        │
+//	               │                                    engines)       └─> journaler ──> buddies
+//	               └──> forwarder ──> recorder ──> plain services
+//	                                     │
+//	log ──> tailers ──> follower (version), epocher (epoch), ledger (once)
+//	             └────> confirmer (is what we know current?)
+//	peers <──> heartbeater, fetcher, borrower, allotter
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/oklog/run"
+	"github.com/oklog/ulid/v2"
+
+	"sassafraspass.dev/sassafraspass/connection/appender"
+	"sassafraspass.dev/sassafraspass/connection/dispatcher"
+	"sassafraspass.dev/sassafraspass/connection/listener"
+	"sassafraspass.dev/sassafraspass/connection/messenger"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/allotter"
+	"sassafraspass.dev/sassafraspass/process/asserter"
+	"sassafraspass.dev/sassafraspass/process/borrower"
+	"sassafraspass.dev/sassafraspass/process/configurer"
+	"sassafraspass.dev/sassafraspass/process/confirmer"
+	"sassafraspass.dev/sassafraspass/process/fetcher"
+	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/process/journaler"
+	"sassafraspass.dev/sassafraspass/process/logger"
+	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/process/poller"
+	"sassafraspass.dev/sassafraspass/request/admitter"
+	"sassafraspass.dev/sassafraspass/request/canceller"
+	"sassafraspass.dev/sassafraspass/request/forwarder"
+	"sassafraspass.dev/sassafraspass/request/limiter"
+	"sassafraspass.dev/sassafraspass/request/picker"
+	"sassafraspass.dev/sassafraspass/request/planner"
+	"sassafraspass.dev/sassafraspass/request/recorder"
+	"sassafraspass.dev/sassafraspass/request/scheduler"
+	"sassafraspass.dev/sassafraspass/request/streamer"
+	"sassafraspass.dev/sassafraspass/version/epocher"
+	"sassafraspass.dev/sassafraspass/version/follower"
+	"sassafraspass.dev/sassafraspass/version/snapshotter"
+)
+
+// ErrRemoved says that an epoch left this daemon out while it wanted to stay.
+// The platform should start it again.
+var ErrRemoved = errors.New("this daemon was removed from the epoch")
+
+var errAborted = errors.New("the daemon was aborted")
+
+// Server is one daemon.
+type Server struct {
+	settings configurer.Settings
+	clock    clockwork.Clock
+	self     epocher.Member
+	log      *slog.Logger
+	meter    *meter.Meter
+	assert   *asserter.Asserter
+
+	callers   net.Listener
+	peers     net.Listener
+	operators net.Listener
+	metrics   http.Handler
+
+	logClient  *appender.Client
+	messages   *messenger.Client
+	follower   *follower.Follower
+	epocher    *epocher.Epocher
+	confirmer  *confirmer.Confirmer
+	members    *heartbeater.Members
+	heartbeat  *heartbeater.Heartbeater
+	fetcher    *fetcher.Fetcher
+	allotter   *allotter.Allotter
+	limiter    *limiter.Limiter
+	borrower   *borrower.Borrower
+	admitter   *admitter.Admitter
+	scheduler  *scheduler.Scheduler
+	poller     *poller.Poller
+	picker     *picker.Picker
+	ledger     *recorder.Ledger
+	writer     *recorder.Writer
+	recorder   *recorder.Recorder
+	canceller  *canceller.Canceller
+	journaler  *journaler.Journaler
+	guardian   *journaler.Guardian
+	snapshot   *snapshotter.Snapshotter
+	listener   *listener.Listener
+	streamer   *streamer.Streamer
+	forwarder  *forwarder.Forwarder
+	callServer *http.Server
+
+	versionRead atomic.Bool
+	ready       atomic.Bool
+	leaving     atomic.Bool
+	removed     chan struct{}
+	removeOnce  sync.Once
+	aborted     chan struct{}
+	abortOnce   sync.Once
+
+	resumedMu sync.Mutex
+	resumed   map[identifier.AttemptID]time.Time
+}
+
+// New opens a daemon's addresses and wires its parts. The clean-up function
+// closes what New opened.
+func New(settings configurer.Settings, log *slog.Logger, clock clockwork.Clock) (s *Server, cleanup func(), err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("start daemon: %w", err)
+		}
+	}()
+	var closers []func()
+	cleanup = func() {
+		for i := len(closers) - 1; i >= 0; i-- {
+			closers[i]()
+		}
+	}
+	s = &Server{
+		settings: settings,
+		clock:    clock,
+		log:      logger.For(log, logger.Process),
+		removed:  make(chan struct{}),
+		aborted:  make(chan struct{}),
+		resumed:  make(map[identifier.AttemptID]time.Time),
+	}
+	closeListeners, err := s.listen()
+	closers = append(closers, closeListeners)
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	m, handler, closeMetrics, err := meter.New()
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	closers = append(closers, func() { _ = closeMetrics() })
+	s.meter = m
+	s.metrics = handler
+	s.assert = asserter.New(s.log, m, settings.Assertion == configurer.AssertFatal)
+	s.self = epocher.Member{
+		Incarnation: identifier.Incarnation(ulid.Make().String()),
+		VM:          settings.VM,
+		Peer:        identifier.Address(s.peers.Addr().String()),
+	}
+	closers = append(closers, s.wire(log)...)
+	return s, cleanup, nil
+}
+
+func (s *Server) listen() (closeAll func(), err error) {
+	var opened []net.Listener
+	closeAll = func() {
+		for _, l := range opened {
+			_ = l.Close()
+		}
+	}
+	targets := []struct {
+		address identifier.Address
+		into    *net.Listener
+	}{
+		{s.settings.Callers, &s.callers},
+		{s.settings.Peers, &s.peers},
+		{s.settings.Operators, &s.operators},
+	}
+	for _, target := range targets {
+		l, err := net.Listen("tcp", string(target.address))
+		if err != nil {
+			return closeAll, err
+		}
+		opened = append(opened, l)
+		*target.into = l
+	}
+	return closeAll, nil
+}
+
+// wire makes the parts and returns their clean-up functions.
+func (s *Server) wire(log *slog.Logger) (closers []func()) {
+	logClient, closeLog := appender.NewClient(s.settings.Log)
+	messages, closeMessages := messenger.NewClient()
+	engines, closeEngines := dispatcher.NewEngines()
+	services, closeServices := dispatcher.NewServices()
+	s.logClient = logClient
+	s.messages = messages
+	s.wireVersion(log)
+	s.wireMembers(log)
+	s.wireLimits(log)
+	s.wireEngines(log, engines)
+	s.wireServices(log, services)
+	s.wireListener(log)
+	return []func(){closeLog, closeMessages, closeEngines, closeServices}
+}
+
+func (s *Server) wireVersion(log *slog.Logger) {
+	configLog := logger.For(log, logger.Config)
+	s.follower = follower.New(s.assert, s.meter)
+	s.epocher = epocher.New()
+	s.confirmer = confirmer.New(s.clock, s.self.Incarnation, appender.StreamConfig, appender.StreamEpochs)
+	s.confirmer.Known = func() (identifier.Offset, identifier.Offset) {
+		return s.follower.Version().Number, s.epocher.Current().Number
+	}
+	s.confirmer.Members = s.epochIncarnations
+	s.fetcher = fetcher.New()
+	s.fetcher.Follower = s.follower
+	s.fetcher.Epocher = s.epocher
+	s.fetcher.Fetch = s.messages.FetchConfig
+	s.fetcher.Log = configLog
+	s.snapshot = &snapshotter.Snapshotter{
+		Interval: s.settings.SnapshotInterval,
+		IsChosen: s.isFirst,
+		Version:  s.follower.Version,
+		Epoch:    s.epocher.Current,
+		Append:   s.logClient.Append,
+		Clock:    s.clock,
+		Log:      configLog,
+	}
+}
+
+func (s *Server) wireMembers(log *slog.Logger) {
+	s.members = heartbeater.NewMembers(s.clock, s.self.Incarnation)
+	s.heartbeat = &heartbeater.Heartbeater{
+		Members:  s.members,
+		Self:     s.self.Peer,
+		Seeds:    s.settings.Seeds,
+		Beat:     s.beat,
+		Exchange: s.messages.Heartbeat,
+		Received: s.received,
+		ReadVMs:  s.logClient.VMs,
+		Known:    s.watched,
+		Clock:    s.clock,
+		Log:      logger.For(log, logger.Members),
+	}
+	s.guardian = journaler.NewGuardian()
+	s.guardian.IsGone = func(member epocher.Member) bool {
+		return s.members.Proof(member) != heartbeater.ProofNone
+	}
+	s.guardian.Owner = s.owner
+	s.guardian.Clock = s.clock
+	s.guardian.Log = logger.For(log, logger.Cancel)
+	s.guardian.Meter = s.meter
+}
+
+func (s *Server) wireLimits(log *slog.Logger) {
+	sharesLog := logger.For(log, logger.Shares)
+	s.limiter = limiter.New(s.clock, s.assert)
+	s.borrower = &borrower.Borrower{
+		Self:    s.self.Incarnation,
+		Limiter: s.limiter,
+		Lenders: s.lenders,
+		Borrow:  s.messages.Borrow,
+		Clock:   s.clock,
+		Log:     sharesLog,
+		Meter:   s.meter,
+	}
+	s.allotter = &allotter.Allotter{
+		Self:      s.self,
+		Epocher:   s.epocher,
+		Limiter:   s.limiter,
+		Members:   s.members,
+		IsJoining: func() bool { return !s.leaving.Load() && s.versionRead.Load() },
+		IsCurrent: s.confirmer.IsCurrent,
+		Append:    s.logClient.Append,
+		Removed:   func() { s.removeOnce.Do(func() { close(s.removed) }) },
+		Clock:     s.clock,
+		Log:       sharesLog,
+	}
+	s.epocher.Changed = s.enterEpoch
+}
+
+func (s *Server) wireEngines(log *slog.Logger, engines *dispatcher.Engines) {
+	s.scheduler = scheduler.New(s.clock, s.assert, planner.New())
+	s.poller = &poller.Poller{
+		Version:   s.follower.Version,
+		Engines:   engines,
+		Scheduler: s.scheduler,
+		Clock:     s.clock,
+	}
+	s.journaler = journaler.New()
+	s.journaler.Self = s.self.Incarnation
+	s.journaler.Zone = s.settings.Zone
+	s.journaler.Live = s.members.Live
+	s.journaler.Send = s.messages.SendJournal
+	s.journaler.Clock = s.clock
+	s.journaler.Log = logger.For(log, logger.Cancel)
+	s.canceller = canceller.New()
+	s.canceller.Send = engines.Cancel
+	s.canceller.Acknowledged = s.journaler.Freed
+	s.canceller.Clock = s.clock
+	s.canceller.Log = logger.For(log, logger.Cancel)
+	s.canceller.Meter = s.meter
+	s.guardian.Cancel = s.canceller.Cancel
+	s.streamer = &streamer.Streamer{
+		Scheduler: s.scheduler,
+		Engines:   engines,
+		Begin:     s.journaler.Begin,
+		End:       s.journaler.End,
+		Cancel:    s.canceller.Cancel,
+		Budget:    streamer.NewBudget(),
+		Clock:     s.clock,
+		Log:       logger.For(log, logger.Upstream),
+		Meter:     s.meter,
+		Assert:    s.assert,
+	}
+}
+
+func (s *Server) wireServices(log *slog.Logger, services *dispatcher.Services) {
+	onceLog := logger.For(log, logger.Once)
+	s.picker = picker.New(s.clock, s.settings.Zone)
+	s.ledger = recorder.NewLedger()
+	s.writer = recorder.NewWriter()
+	s.writer.Append = s.logClient.Append
+	s.writer.Clock = s.clock
+	s.writer.Log = onceLog
+	s.writer.Meter = s.meter
+	s.recorder = &recorder.Recorder{
+		Self:   s.self.Incarnation,
+		Ledger: s.ledger,
+		Writer: s.writer,
+		IsLive: s.isLive,
+		Clock:  s.clock,
+		Log:    onceLog,
+	}
+	s.forwarder = &forwarder.Forwarder{
+		Services: services,
+		Picker:   s.picker,
+		Recorder: s.recorder,
+		Budget:   streamer.NewBudget(),
+		Log:      logger.For(log, logger.Upstream),
+		Meter:    s.meter,
+		Assert:   s.assert,
+	}
+}
+
+func (s *Server) wireListener(log *slog.Logger) {
+	requestLog := logger.For(log, logger.Request)
+	s.admitter = admitter.New()
+	s.admitter.Version = s.follower.Version
+	s.admitter.IsCurrent = s.confirmer.IsCurrent
+	s.admitter.Clock = s.clock
+	s.admitter.Meter = s.meter
+	s.follower.Installed = s.installed
+	s.listener = &listener.Listener{
+		Version:   s.follower.Version,
+		Admitter:  s.admitter,
+		Limiter:   s.limiter,
+		Streamer:  s.streamer,
+		Forward:   s.forwarder,
+		IsReady:   s.isReady,
+		IsLeaving: s.leaving.Load,
+		Entry:     s.entry,
+		Resumed:   s.noteResumed,
+		Metrics:   s.metrics,
+		Clock:     s.clock,
+		Log:       requestLog,
+		Meter:     s.meter,
+	}
+	s.callServer = listener.NewServer(s.listener.Handler())
+}
+
+// CallerAddress returns the address that callers connect to.
+func (s *Server) CallerAddress() identifier.Address {
+	return identifier.Address(s.callers.Addr().String())
+}
+
+// PeerAddress returns the address that other daemons connect to.
+func (s *Server) PeerAddress() identifier.Address {
+	return s.self.Peer
+}
+
+// OperatorAddress returns the address that operators connect to.
+func (s *Server) OperatorAddress() identifier.Address {
+	return identifier.Address(s.operators.Addr().String())
+}
+
+// Run serves until the context ends, and then stops in a planned way. It
+// returns ErrRemoved where other daemons took over this one's shares.
+func (s *Server) Run(ctx context.Context) error {
+	var group run.Group
+	for _, duty := range s.duties() {
+		dutyCtx, cancel := context.WithCancel(context.Background())
+		group.Add(func() error { return duty(dutyCtx) }, func(error) { cancel() })
+	}
+	s.addServer(&group, s.callServer, s.callers)
+	s.addServer(&group, listener.NewServer(s.peerHandler()), s.peers)
+	s.addServer(&group, listener.NewServer(s.operatorHandler()), s.operators)
+	stopCtx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return s.awaitStop(ctx, stopCtx) }, func(error) { cancel() })
+	s.log.Info("Started.", "vm", s.settings.VM, "incarnation", s.self.Incarnation,
+		"callers", s.CallerAddress(), "peers", s.PeerAddress(), "operators", s.OperatorAddress())
+	err := group.Run()
+	s.log.Info("Stopped.", "err", err)
+	return err
+}
+
+// duties lists what runs for as long as the daemon does.
+func (s *Server) duties() []func(ctx context.Context) error {
+	return []func(ctx context.Context) error{
+		s.followConfig,
+		s.followEpochs,
+		s.followOnce,
+		s.heartbeat.Run,
+		s.heartbeat.RunList,
+		s.watchMembers,
+		s.fetcher.Run,
+		s.allotter.Run,
+		s.limiter.Run,
+		s.borrower.Run,
+		s.admitter.Run,
+		s.scheduler.Run,
+		s.poller.Run,
+		s.writer.Run,
+		s.recorder.RunExpiry,
+		s.canceller.Run,
+		s.journaler.Run,
+		s.guardian.Run,
+		s.snapshot.Run,
+	}
+}
+
+func (s *Server) addServer(group *run.Group, server *http.Server, l net.Listener) {
+	closed := make(chan struct{})
+	serve := func() error {
+		err := server.Serve(l)
+		if !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		<-closed
+		return nil
+	}
+	var once sync.Once
+	group.Add(serve, func(error) {
+		_ = server.Close()
+		once.Do(func() { close(closed) })
+	})
+}
--- /dev/null
+++ b/process/server/status.go
@@ -0,0 +1,121 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/confirmer"
+	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/request/limiter"
+	"sassafraspass.dev/sassafraspass/request/planner"
+)
+
+// PathStatus is where the operators' listener tells what a daemon knows.
+const PathStatus = "/v1/status"
+
+// Status is what a daemon knows, for operators.
+type Status struct {
+	VM          identifier.VMName      `json:"vm"`
+	Zone        identifier.ZoneName    `json:"zone"`
+	Incarnation identifier.Incarnation `json:"incarnation"`
+	State       heartbeater.State      `json:"state"`
+	Ready       bool                   `json:"ready"`
+	// Current says whether the configuration is known to be the newest.
+	Current bool `json:"current"`
+	// LogAge is empty where the log was never read.
+	LogAge  string            `json:"log-age,omitempty"`
+	Version identifier.Offset `json:"version"`
+	Epoch   identifier.Offset `json:"epoch"`
+	Members []MemberStatus    `json:"members"`
+	Shares  []limiter.Holding `json:"shares"`
+	Engines []planner.Status  `json:"engines"`
+	// Running counts requests with a key, Waiting those that wait for engines.
+	Running         int          `json:"running"`
+	Waiting         int          `json:"waiting"`
+	UnackedCancels  int          `json:"unacknowledged-cancels"`
+	JournalledHere  int          `json:"journalled-attempts"`
+	OnceKeys        int          `json:"once-keys"`
+	UnwrittenOnce   int          `json:"unwritten-once-records"`
+	Counters        meter.Report `json:"counters"`
+	BrokenRecords   int64        `json:"broken-records"`
+	KnownWorkspaces int          `json:"workspaces"`
+	KnownKeys       int          `json:"keys"`
+	WithdrawnKeys   int          `json:"withdrawn-keys"`
+	SettledLimits   bool         `json:"settled-limits"`
+}
+
+// MemberStatus is what a daemon knows of another one.
+type MemberStatus struct {
+	VM      identifier.VMName   `json:"vm"`
+	Zone    identifier.ZoneName `json:"zone"`
+	State   heartbeater.State   `json:"state"`
+	Version identifier.Offset   `json:"version"`
+	Epoch   identifier.Offset   `json:"epoch"`
+}
+
+func (s *Server) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathStatus, s.serveStatus)
+	mux.Handle("GET /metrics", s.metrics)
+	return mux
+}
+
+func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(s.Status())
+}
+
+// Status returns what this daemon knows.
+func (s *Server) Status() Status {
+	beat := s.beat()
+	version := s.follower.Version()
+	status := Status{
+		VM:              beat.VM,
+		Zone:            beat.Zone,
+		Incarnation:     beat.Incarnation,
+		State:           beat.State,
+		Ready:           s.isReady(),
+		Current:         s.confirmer.IsCurrent(),
+		Version:         beat.Version,
+		Epoch:           beat.Epoch,
+		Shares:          s.limiter.Holdings(),
+		Running:         s.admitter.Running(),
+		Waiting:         s.scheduler.Waiting(),
+		UnackedCancels:  s.canceller.Pending(),
+		JournalledHere:  s.journaler.Running(),
+		OnceKeys:        s.ledger.Len(),
+		UnwrittenOnce:   s.writer.Len(),
+		Counters:        s.meter.Report(),
+		BrokenRecords:   version.Broken,
+		KnownWorkspaces: len(version.Workspaces),
+		KnownKeys:       len(version.Keys),
+		WithdrawnKeys:   len(version.Withdrawn),
+		SettledLimits:   s.limiter.IsSettled(),
+	}
+	if beat.LogAge != confirmer.Never {
+		status.LogAge = beat.LogAge.Round(time.Millisecond).String()
+	}
+	for _, member := range s.members.Live() {
+		status.Members = append(status.Members, MemberStatus{
+			VM:      member.VM,
+			Zone:    member.Zone,
+			State:   member.State,
+			Version: member.Version,
+			Epoch:   member.Epoch,
+		})
+	}
+	slices.SortFunc(status.Shares, func(a, b limiter.Holding) int {
+		if a.Workspace < b.Workspace {
+			return -1
+		}
+		return 1
+	})
+	s.scheduler.Look(func(p *planner.Planner, now time.Time) { status.Engines = p.Statuses(now) })
+	return status
+}
--- /dev/null
+++ b/process/server/stop.go
@@ -0,0 +1,78 @@
+package server
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// announceTime lets the other daemons hear that this one is leaving.
+	announceTime = time.Second
+	// handOverTime bounds the waits for the log and for peers at the end. What
+	// is not handed over by then is recovered by the others.
+	handOverTime = 10 * time.Second
+	handOverPoll = 50 * time.Millisecond
+)
+
+// Abort ends the daemon at once, without a planned stop, as if its process had
+// died. Tests use it.
+func (s *Server) Abort() {
+	s.abortOnce.Do(func() { close(s.aborted) })
+}
+
+// awaitStop returns when the daemon was removed from the epoch, or has stopped
+// in a planned way after the context ended.
+func (s *Server) awaitStop(ctx, hardStop context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-s.removed:
+		return ErrRemoved
+	case <-s.aborted:
+		return errAborted
+	case <-hardStop.Done():
+		return nil
+	}
+	leaveCtx, cancel := context.WithCancel(hardStop)
+	defer cancel()
+	go func() {
+		select {
+		case <-s.aborted:
+			cancel()
+		case <-leaveCtx.Done():
+		}
+	}()
+	return s.leave(leaveCtx)
+}
+
+// leave stops in a planned way: no caller is sent here any more, those that
+// still come are served until their addresses have expired, what runs ends,
+// and shares and records go to the others.
+func (s *Server) leave(ctx context.Context) error {
+	s.log.Info("Leaving.", "entry-max-age", s.settings.EntryMaxAge)
+	s.leaving.Store(true)
+	s.sleep(ctx, s.settings.EntryMaxAge+announceTime)
+	err := s.callServer.Shutdown(ctx)
+	if err != nil {
+		return err
+	}
+	s.limiter.Drain()
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	s.await(ctx, func() bool { return s.writer.Len() == 0 })
+	s.await(ctx, func() bool { return s.canceller.Pending() == 0 })
+	s.await(ctx, func() bool { return !s.epocher.Current().Has(s.self.Incarnation) || len(s.members.Live()) == 0 })
+	return nil
+}
+
+func (s *Server) await(ctx context.Context, isDone func() bool) {
+	for !isDone() && ctx.Err() == nil {
+		s.sleep(ctx, handOverPoll)
+	}
+}
+
+func (s *Server) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-s.clock.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/request/admitter/body.go
@@ -0,0 +1,150 @@
+package admitter
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"sassafraspass.dev/sassafraspass/connection/dispatcher"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+// Shape tells which of the usual completion protocols a request uses.
+type Shape string
+
+// The shapes of completion requests.
+const (
+	ShapeText Shape = "text"
+	ShapeChat Shape = "chat"
+)
+
+// defaultMaxOutput bounds the output where neither the request nor the profile
+// does.
+const defaultMaxOutput = 256
+
+// Completion is a completion request after checks.
+type Completion struct {
+	Model  identifier.ModelName
+	Prompt string
+	// MaxOutput is zero where the request names none.
+	MaxOutput identifier.Tokens
+	Stream    bool
+}
+
+// completionBody is the OpenAI shape. Fields that are not named here are
+// ignored, as callers' libraries send many.
+type completionBody struct {
+	Model               string          `json:"model"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []chatMessage   `json:"messages"`
+	MaxTokens           *int64          `json:"max_tokens"`
+	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+	N                   *int            `json:"n"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type chatPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// ParseCompletion reads the body of a completion request.
+func ParseCompletion(shape Shape, raw []byte) (Completion, *refuser.Refusal) {
+	var body completionBody
+	err := json.Unmarshal(raw, &body)
+	if err != nil {
+		return Completion{}, malformed("the body is not a completion request: %s", err)
+	}
+	c := Completion{Model: identifier.ModelName(body.Model), Stream: body.Stream}
+	c.Prompt, err = promptOf(shape, body)
+	switch {
+	case err != nil:
+		return Completion{}, malformed("%s", err)
+	case body.Model == "":
+		return Completion{}, malformed("\"model\" is missing")
+	case body.N != nil && *body.N != 1:
+		return Completion{}, malformed("\"n\" must be 1")
+	}
+	limit := body.MaxTokens
+	if limit == nil {
+		limit = body.MaxCompletionTokens
+	}
+	if limit != nil && *limit <= 0 {
+		return Completion{}, malformed("\"max_tokens\" must be above 0")
+	}
+	if limit != nil {
+		c.MaxOutput = identifier.Tokens(*limit)
+	}
+	return c, nil
+}
+
+func promptOf(shape Shape, body completionBody) (prompt string, err error) {
+	if shape == ShapeText {
+		err = json.Unmarshal(body.Prompt, &prompt)
+		if err != nil || prompt == "" {
+			return "", fmt.Errorf("\"prompt\" must be a string that is not empty")
+		}
+		return prompt, nil
+	}
+	if len(body.Messages) == 0 {
+		return "", fmt.Errorf("\"messages\" must not be empty")
+	}
+	var text strings.Builder
+	for i, message := range body.Messages {
+		content, err := contentOf(message.Content)
+		if err != nil {
+			return "", fmt.Errorf("\"messages\"[%d]: %w", i, err)
+		}
+		fmt.Fprintf(&text, "%s: %s\n", message.Role, content)
+	}
+	return text.String(), nil
+}
+
+// contentOf reads a string or a list of text parts.
+func contentOf(raw json.RawMessage) (content string, err error) {
+	err = json.Unmarshal(raw, &content)
+	if err == nil {
+		return content, nil
+	}
+	var parts []chatPart
+	err = json.Unmarshal(raw, &parts)
+	if err != nil {
+		return "", fmt.Errorf("\"content\" must be a string or a list of text parts")
+	}
+	for _, part := range parts {
+		if part.Type != "text" {
+			return "", fmt.Errorf("a part of type %q is not supported", part.Type)
+		}
+		content += part.Text
+	}
+	return content, nil
+}
+
+// Output returns the largest output of a request under a profile.
+func (c Completion) Output(profile parser.Profile) identifier.Tokens {
+	limit := profile.MaxOutput
+	if limit == 0 {
+		limit = defaultMaxOutput
+	}
+	if c.MaxOutput == 0 {
+		return limit
+	}
+	return min(c.MaxOutput, limit)
+}
+
+// Tokens returns what a request reserves: its prompt and its largest output.
+func (c Completion) Tokens(profile parser.Profile) identifier.Tokens {
+	return dispatcher.CountTokens(c.Prompt) + c.Output(profile)
+}
+
+func malformed(format string, args ...any) *refuser.Refusal {
+	return refuser.New(http.StatusBadRequest, refuser.MalformedBody, format, args...)
+}
--- /dev/null
+++ b/request/limiter/bucket.go
@@ -0,0 +1,165 @@
+package limiter
+
+import (
+	"math"
+	"time"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+const (
+	// demandHalfLife is how fast the estimate of a workspace's demand decays.
+	demandHalfLife = 5 * time.Second
+	// rounding absorbs floating-point error in comparisons of tokens.
+	rounding = 1e-6
+)
+
+// bucket is a daemon's part of the token bucket of one workspace.
+//
+// The daemons' shares sum to at most one, a level never exceeds its share of
+// the burst, and a level grows by its share of the rate. So whatever all
+// daemons admit in a window is at most rate times window plus burst.
+type bucket struct {
+	workspace identifier.WorkspaceName
+	rate      float64
+	burst     float64
+	share     identifier.Parts
+	level     float64
+	updatedAt time.Time
+
+	demand   float64
+	demandAt time.Time
+
+	outstanding map[*Reservation]struct{}
+	waiters     []*waiter
+	waiting     float64
+}
+
+// waiter is a request that waits for tokens, in order of arrival.
+type waiter struct {
+	tokens  float64
+	granted chan *Reservation
+}
+
+func newBucket(w parser.Workspace, share identifier.Parts, now time.Time) *bucket {
+	return &bucket{
+		workspace:   w.Name,
+		rate:        float64(w.Rate),
+		burst:       float64(w.Burst),
+		share:       share,
+		updatedAt:   now,
+		demandAt:    now,
+		outstanding: make(map[*Reservation]struct{}),
+	}
+}
+
+func (b *bucket) fraction() float64 {
+	return float64(b.share) / float64(identifier.WholeParts)
+}
+
+// limit is the level at which the bucket is full.
+func (b *bucket) limit() float64 {
+	return b.fraction() * b.burst
+}
+
+// advance adds what has accrued since the last change.
+func (b *bucket) advance(now time.Time) {
+	elapsed := now.Sub(b.updatedAt).Seconds()
+	b.updatedAt = now
+	if elapsed > 0 {
+		b.level += elapsed * b.rate * b.fraction()
+	}
+	b.clip()
+}
+
+// clip drops what exceeds the limit, and notes for each reservation how much
+// of a refund the bucket could have held at the tightest moment since.
+func (b *bucket) clip() {
+	limit := b.limit()
+	b.level = min(b.level, limit)
+	for r := range b.outstanding {
+		r.headroom = min(r.headroom, limit-b.level)
+	}
+}
+
+func (b *bucket) take(tokens float64) *Reservation {
+	b.level -= tokens
+	r := &Reservation{bucket: b, tokens: tokens, headroom: math.Inf(1)}
+	b.outstanding[r] = struct{}{}
+	return r
+}
+
+// settle ends a reservation of which only some tokens were used.
+//
+// A refund must leave the bucket as if only the used tokens had been taken at
+// the time of the reservation. Had they stayed in the bucket, those above its
+// limit would have been lost; the headroom tells how many. Refunds of
+// reservations that overlap share the same headroom.
+func (b *bucket) settle(r *Reservation, used float64) {
+	delete(b.outstanding, r)
+	unused := max(0, r.tokens-used)
+	b.level += max(0, min(unused, r.headroom))
+	for other := range b.outstanding {
+		other.headroom -= unused
+	}
+	b.clip()
+}
+
+// setShare changes the share. What the change adds starts at level zero.
+func (b *bucket) setShare(share identifier.Parts) {
+	b.share = share
+	b.clip()
+}
+
+// configure changes the rate and the burst.
+func (b *bucket) configure(w parser.Workspace) {
+	b.rate = float64(w.Rate)
+	b.burst = float64(w.Burst)
+	b.clip()
+}
+
+func (b *bucket) addDemand(now time.Time, tokens float64) {
+	b.decayDemand(now)
+	b.demand += tokens * math.Ln2 / demandHalfLife.Seconds()
+}
+
+func (b *bucket) decayDemand(now time.Time) {
+	elapsed := now.Sub(b.demandAt)
+	b.demandAt = now
+	b.demand *= math.Exp2(-elapsed.Seconds() / demandHalfLife.Seconds())
+}
+
+// lend splits off what the borrower's demand makes its due of both shares.
+func (b *bucket) lend(now time.Time, req BorrowRequest, floor identifier.Parts) (parts identifier.Parts, tokens float64) {
+	b.decayDemand(now)
+	own := b.demand + b.waiting
+	theirs := req.Demand + float64(req.WantTokens)
+	if theirs <= 0 {
+		return 0, 0
+	}
+	both := float64(b.share + req.Share)
+	keep := identifier.Parts(both * own / (own + theirs))
+	keep = max(keep, min(floor, b.share))
+	parts = b.share - keep
+	if parts <= 0 {
+		return 0, 0
+	}
+	limitGiven := float64(parts) / float64(identifier.WholeParts) * b.burst
+	due := b.level * float64(parts) / float64(b.share)
+	if own == 0 {
+		due = max(due, float64(req.WantTokens))
+	}
+	mustGive := b.level - (b.limit() - limitGiven)
+	tokens = max(0, min(max(due, mustGive), b.level, limitGiven))
+	b.level -= tokens
+	b.setShare(keep)
+	return parts, tokens
+}
+
+// receive adds what another daemon has split off.
+func (b *bucket) receive(parts identifier.Parts, tokens float64) {
+	b.share += parts
+	b.level += tokens
+	b.clip()
+}
--- /dev/null
+++ b/request/limiter/limiter.go
@@ -0,0 +1,344 @@
+// Package limiter holds a daemon's shares of the workspaces' rates and bursts
+// and admits requests against them without a message.
+//
+// Shares are escrowed: a lender deducts before it answers, and a borrower adds
+// each answer once. A lost message can cost tokens but never makes any. So
+// safety needs no clock, lease or reply.
+package limiter
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/asserter"
+	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+const (
+	pumpInterval = 5 * time.Millisecond
+	// floorDivisor is the part of its base share that a lender keeps.
+	floorDivisor = 5
+	maxWaiters   = 4096
+	shortages    = 256
+)
+
+// Reservation is a number of tokens taken for one request.
+type Reservation struct {
+	bucket   *bucket
+	tokens   float64
+	headroom float64
+	settled  bool
+}
+
+// Limiter admits requests within this daemon's shares.
+type Limiter struct {
+	clock  clockwork.Clock
+	assert *asserter.Asserter
+	// short carries the workspaces that lack tokens to the borrower.
+	short chan identifier.WorkspaceName
+
+	mu      sync.Mutex
+	buckets map[identifier.WorkspaceName]*bucket
+	epoch   identifier.Offset
+	base    identifier.Parts
+	settled bool
+	drained bool
+	lent    map[lendKey]lentGrant
+}
+
+// lendKey names the borrower of one workspace's share.
+type lendKey struct {
+	borrower  identifier.Incarnation
+	workspace identifier.WorkspaceName
+}
+
+// lentGrant is the newest answer to a borrower, kept for its repeats.
+type lentGrant struct {
+	sequence int64
+	response BorrowResponse
+}
+
+// BorrowRequest asks a lender for part of its share.
+type BorrowRequest struct {
+	Borrower   identifier.Incarnation
+	Epoch      identifier.Offset
+	Workspace  identifier.WorkspaceName
+	Sequence   int64
+	WantTokens identifier.Tokens
+	// Demand is the borrower's recent demand in tokens a second.
+	Demand float64
+	Share  identifier.Parts
+}
+
+// BorrowResponse is a lender's answer.
+type BorrowResponse struct {
+	Epoch  identifier.Offset
+	Parts  identifier.Parts
+	Tokens float64
+	// Left is the share that the lender keeps.
+	Left identifier.Parts
+}
+
+// New returns a limiter without any share.
+func New(clock clockwork.Clock, assert *asserter.Asserter) *Limiter {
+	return &Limiter{
+		clock:   clock,
+		assert:  assert,
+		short:   make(chan identifier.WorkspaceName, shortages),
+		buckets: make(map[identifier.WorkspaceName]*bucket),
+		epoch:   identifier.NoOffset,
+		lent:    make(map[lendKey]lentGrant),
+	}
+}
+
+// Short returns the ring of workspaces that lack tokens.
+func (l *Limiter) Short() <-chan identifier.WorkspaceName {
+	return l.short
+}
+
+// Configure takes the rates and bursts of a version.
+func (l *Limiter) Configure(workspaces map[identifier.WorkspaceName]parser.Workspace) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	for name, workspace := range workspaces {
+		b, ok := l.buckets[name]
+		if !ok {
+			l.buckets[name] = newBucket(workspace, l.startShare(), now)
+			continue
+		}
+		b.advance(now)
+		b.configure(workspace)
+	}
+}
+
+// startShare is the share of a workspace that is new in this epoch.
+func (l *Limiter) startShare() identifier.Parts {
+	if !l.settled || l.drained {
+		return 0
+	}
+	return l.base
+}
+
+// EnterEpoch begins an epoch with a base share, zero for one that is not a
+// member. Until Settle, each bucket holds the smaller of its old and new
+// share, so that any mixture of daemons in both epochs sums to at most one.
+func (l *Limiter) EnterEpoch(epoch identifier.Offset, base identifier.Parts) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if epoch <= l.epoch {
+		return
+	}
+	l.epoch = epoch
+	l.base = base
+	l.settled = false
+	clear(l.lent)
+	now := l.clock.Now()
+	for _, b := range l.buckets {
+		b.advance(now)
+		b.setShare(min(b.share, base))
+	}
+}
+
+// Settle raises the shares to the base of the epoch, once all its members are
+// known to have entered it.
+func (l *Limiter) Settle(epoch identifier.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if epoch != l.epoch || l.settled || l.drained {
+		return
+	}
+	l.settled = true
+	now := l.clock.Now()
+	for _, b := range l.buckets {
+		b.advance(now)
+		b.setShare(l.base)
+	}
+}
+
+// IsSettled reports whether the shares of the epoch are in force.
+func (l *Limiter) IsSettled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.settled
+}
+
+// Drain gives up all shares for good, for a planned stop.
+func (l *Limiter) Drain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drained = true
+	now := l.clock.Now()
+	for _, b := range l.buckets {
+		b.advance(now)
+		b.setShare(0)
+	}
+}
+
+// IsDrained reports whether all shares were given up.
+func (l *Limiter) IsDrained() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.drained
+}
+
+// Reserve takes tokens for a request. It waits for the bucket until the
+// context ends; a nil refusal means that the tokens are reserved.
+func (l *Limiter) Reserve(ctx context.Context, workspace identifier.WorkspaceName, tokens identifier.Tokens) (*Reservation, *refuser.Refusal) {
+	w, reservation, refusal := l.enqueue(ctx, workspace, float64(tokens))
+	if refusal != nil || reservation != nil {
+		return reservation, refusal
+	}
+	select {
+	case reservation = <-w.granted:
+		return reservation, nil
+	case <-ctx.Done():
+	}
+	reservation = l.abandon(workspace, w)
+	if reservation != nil {
+		return reservation, nil
+	}
+	return nil, l.overLimit(workspace, "no tokens became free in time")
+}
+
+func (l *Limiter) enqueue(ctx context.Context, workspace identifier.WorkspaceName, tokens float64) (*waiter, *Reservation, *refuser.Refusal) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, ok := l.buckets[workspace]
+	if !ok {
+		return nil, nil, refuser.New(401, refuser.UnknownKey, "the key's workspace is not configured")
+	}
+	if tokens > b.burst {
+		return nil, nil, refuser.New(413, refuser.OverBurst, "the request needs %.0f tokens, and the workspace's burst is %.0f", tokens, b.burst)
+	}
+	now := l.clock.Now()
+	b.advance(now)
+	b.addDemand(now, tokens)
+	if len(b.waiters) == 0 && b.level+rounding >= tokens {
+		return nil, l.take(b, tokens), nil
+	}
+	if !b.isWorthWaiting(ctx, now, tokens) {
+		return nil, nil, b.refusal("more is waiting than the rate allows before the deadline")
+	}
+	w := &waiter{tokens: tokens, granted: make(chan *Reservation, 1)}
+	b.waiters = append(b.waiters, w)
+	b.waiting += tokens
+	l.announce(workspace)
+	return w, nil, nil
+}
+
+// isWorthWaiting reports whether the whole rate could serve all that waits
+// before the deadline.
+func (b *bucket) isWorthWaiting(ctx context.Context, now time.Time, tokens float64) bool {
+	if len(b.waiters) >= maxWaiters {
+		return false
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return true
+	}
+	budget := b.burst + b.rate*deadline.Sub(now).Seconds()
+	return b.waiting+tokens <= budget
+}
+
+func (b *bucket) refusal(reason string) *refuser.Refusal {
+	wait := time.Duration((b.waiting / b.rate) * float64(time.Second))
+	return refuser.New(429, refuser.OverLimit, "workspace %s is over its limit: %s", b.workspace, reason).After(max(wait, time.Second))
+}
+
+func (l *Limiter) overLimit(workspace identifier.WorkspaceName, reason string) *refuser.Refusal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buckets[workspace].refusal(reason)
+}
+
+func (l *Limiter) take(b *bucket, tokens float64) *Reservation {
+	r := b.take(tokens)
+	l.assert.That(b.level >= -rounding, asserter.LevelWithinShare, "workspace", b.workspace, "level", b.level)
+	return r
+}
+
+// abandon ends a wait. It returns a reservation that was granted meanwhile.
+func (l *Limiter) abandon(workspace identifier.WorkspaceName, w *waiter) *Reservation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[workspace]
+	at := slices.Index(b.waiters, w)
+	if at < 0 {
+		return <-w.granted
+	}
+	b.waiters = slices.Delete(b.waiters, at, at+1)
+	b.waiting -= w.tokens
+	return nil
+}
+
+// Release ends a reservation and refunds what was not used. Only the first
+// call for a reservation counts.
+func (l *Limiter) Release(r *Reservation, used identifier.Tokens) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.assert.That(!r.settled, asserter.ReservationOnce, "workspace", r.bucket.workspace)
+	if r.settled {
+		return
+	}
+	r.settled = true
+	r.bucket.advance(l.clock.Now())
+	r.bucket.settle(r, float64(used))
+	l.pump(r.bucket)
+}
+
+// Run grants tokens to waiting requests as they accrue, until the context
+// ends.
+func (l *Limiter) Run(ctx context.Context) error {
+	ticker := l.clock.NewTicker(pumpInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		l.PumpAll()
+	}
+}
+
+// PumpAll grants what has accrued to the waiting requests of all workspaces.
+func (l *Limiter) PumpAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	for _, b := range l.buckets {
+		if len(b.waiters) == 0 {
+			continue
+		}
+		b.advance(now)
+		l.pump(b)
+	}
+}
+
+// pump grants tokens to the requests at the head of the line.
+func (l *Limiter) pump(b *bucket) {
+	for len(b.waiters) > 0 && b.level+rounding >= b.waiters[0].tokens {
+		w := b.waiters[0]
+		b.waiters = b.waiters[1:]
+		b.waiting -= w.tokens
+		w.granted <- l.take(b, w.tokens)
+	}
+	if len(b.waiters) > 0 {
+		l.announce(b.workspace)
+	}
+}
+
+// announce tells the borrower of a shortage, unless its ring is full.
+func (l *Limiter) announce(workspace identifier.WorkspaceName) {
+	select {
+	case l.short <- workspace:
+	default:
+	}
+}
--- /dev/null
+++ b/request/planner/planner.go
@@ -0,0 +1,297 @@
+// Package planner chooses the pair of a prefill and a decode engine for a
+// request. A decode seat is taken before the prefill starts, as a prefill
+// costs many tens of output tokens and its result lives under a second.
+package planner
+
+import (
+	"math"
+	"time"
+
+	"sassafraspass.dev/sassafraspass/connection/dispatcher"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+const (
+	// defaultPrefillRate is the estimate, in tokens a second, for an engine
+	// that has not served a prefill yet.
+	defaultPrefillRate = 20_000.0
+	// defaultLinkRate is the estimate, in tokens a second, of a link.
+	defaultLinkRate = 500_000.0
+	// otherZonePenalty is added to the cost of a pair in two zones.
+	otherZonePenalty = 2 * time.Millisecond
+	// seatPenalty is the cost of a full decode engine against an empty one.
+	seatPenalty = 150 * time.Millisecond
+	// maxPrefillBacklog is how much work an engine is given ahead. Requests
+	// beyond it wait here, where they can still be reordered and refused.
+	maxPrefillBacklog = 400 * time.Millisecond
+	// sickFor is how long an engine that failed gets no new work.
+	sickFor = 2 * time.Second
+	// rateWeight is the weight of the newest sample in an estimate.
+	rateWeight = 0.2
+	// reportFresh is how long a load report counts.
+	reportFresh = 3 * time.Second
+	// minSampleTokens is the least work that gives a sample of a rate.
+	minSampleTokens = 64
+)
+
+// Request is what the choice depends on.
+type Request struct {
+	Model  identifier.ModelName
+	Tokens identifier.Tokens
+	Blocks []dispatcher.BlockHash
+	// Deadline is when the first token is due.
+	Deadline time.Time
+	// Avoid names engines that failed this request before.
+	Avoid []identifier.UpstreamName
+}
+
+// Plan is a chosen pair with a seat taken at its decode engine.
+type Plan struct {
+	Prefill parser.Upstream
+	Decode  parser.Upstream
+	// Expected is the estimated time to the first token.
+	Expected time.Duration
+	// Work is the prefill work that the prefill engine was charged with.
+	Work identifier.Tokens
+	// TransferBound is when a transfer counts as stalled.
+	TransferBound time.Duration
+
+	prefillDone bool
+	released    bool
+}
+
+// Planner tracks the engines of all models. It is not safe for concurrent
+// use; the scheduler owns it.
+type Planner struct {
+	engines map[identifier.UpstreamName]*engine
+	links   map[linkKey]float64
+}
+
+type linkKey struct {
+	from identifier.UpstreamName
+	to   identifier.UpstreamName
+}
+
+// New returns a planner without engines.
+func New() *Planner {
+	return &Planner{
+		engines: make(map[identifier.UpstreamName]*engine),
+		links:   make(map[linkKey]float64),
+	}
+}
+
+// Configure takes the model services of a version.
+func (p *Planner) Configure(services map[identifier.ServiceName]parser.Service) {
+	kept := make(map[identifier.UpstreamName]*engine)
+	for _, service := range services {
+		if service.Kind != parser.KindModel {
+			continue
+		}
+		for _, upstream := range service.Upstreams {
+			e, ok := p.engines[upstream.Name]
+			if !ok {
+				e = newEngine()
+			}
+			e.upstream = upstream
+			e.model = service.Model
+			kept[upstream.Name] = e
+		}
+	}
+	p.engines = kept
+}
+
+// Choose returns the cheapest pair and takes its decode seat. It returns nil
+// where no pair is free now.
+func (p *Planner) Choose(now time.Time, req Request) *Plan {
+	decodes := p.candidates(now, req, parser.RoleDecode)
+	var best *Plan
+	for _, pre := range p.candidates(now, req, parser.RolePrefill) {
+		backlog := pre.backlog()
+		if backlog > maxPrefillBacklog {
+			continue
+		}
+		uncached := req.Tokens - pre.cache.expectedHit(req.Blocks)
+		work := backlog + duration(float64(uncached)/pre.prefillRate)
+		for _, dec := range decodes {
+			cost := work + p.transferTime(pre, dec, req.Tokens) + dec.seatCost(now)
+			if best == nil || cost < best.Expected {
+				best = &Plan{Prefill: pre.upstream, Decode: dec.upstream, Expected: cost, Work: uncached}
+			}
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.TransferBound = p.transferBound(best, req.Tokens)
+	p.take(best)
+	return best
+}
+
+// candidates returns the engines of a role that may get the request.
+func (p *Planner) candidates(now time.Time, req Request, role parser.Role) []*engine {
+	var found []*engine
+	for _, e := range p.engines {
+		if e.model != req.Model || e.upstream.Role != role || !e.isUsable(now) {
+			continue
+		}
+		if isAvoided(req.Avoid, e.upstream.Name) {
+			continue
+		}
+		if role == parser.RoleDecode && e.occupancy(now) >= e.upstream.Seats {
+			continue
+		}
+		found = append(found, e)
+	}
+	return found
+}
+
+func isAvoided(avoid []identifier.UpstreamName, name identifier.UpstreamName) bool {
+	for _, avoided := range avoid {
+		if avoided == name {
+			return true
+		}
+	}
+	return false
+}
+
+// HasEngines reports whether a model has usable engines of both roles.
+func (p *Planner) HasEngines(now time.Time, model identifier.ModelName) bool {
+	req := Request{Model: model}
+	roles := make(map[parser.Role]bool)
+	for _, e := range p.engines {
+		if e.model == req.Model && e.isUsable(now) {
+			roles[e.upstream.Role] = true
+		}
+	}
+	return roles[parser.RolePrefill] && roles[parser.RoleDecode]
+}
+
+// Fastest returns the least time in which a prompt can be prefilled, for
+// refusing what cannot meet its deadline any more. It is zero while no engine
+// is usable.
+func (p *Planner) Fastest(now time.Time, req Request) time.Duration {
+	fastest := time.Duration(math.MaxInt64)
+	for _, e := range p.engines {
+		if e.model != req.Model || e.upstream.Role != parser.RolePrefill || !e.isUsable(now) {
+			continue
+		}
+		uncached := req.Tokens - e.cache.expectedHit(req.Blocks)
+		fastest = min(fastest, duration(float64(uncached)/e.prefillRate))
+	}
+	if fastest == math.MaxInt64 {
+		return 0
+	}
+	return fastest
+}
+
+// Reseat moves a plan whose prefill is done to another decode engine. It
+// returns nil where none has a free seat; the plan then keeps its own.
+func (p *Planner) Reseat(now time.Time, plan *Plan, req Request) *Plan {
+	pre, ok := p.engines[plan.Prefill.Name]
+	if !ok {
+		return nil
+	}
+	var best *engine
+	for _, dec := range p.candidates(now, req, parser.RoleDecode) {
+		if best == nil || dec.seatCost(now) < best.seatCost(now) {
+			best = dec
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.ownRunning++
+	p.Release(plan, now)
+	moved := &Plan{Prefill: pre.upstream, Decode: best.upstream, prefillDone: true}
+	moved.TransferBound = p.transferBound(moved, req.Tokens)
+	return moved
+}
+
+func (p *Planner) take(plan *Plan) {
+	pre := p.engines[plan.Prefill.Name]
+	pre.ownTokens += plan.Work
+	pre.ownRunning++
+	p.engines[plan.Decode.Name].ownRunning++
+}
+
+// PrefillDone returns the prefill engine's part of a plan. A took of zero
+// means that the prefill failed.
+func (p *Planner) PrefillDone(plan *Plan, took time.Duration, blocks []dispatcher.BlockHash, now time.Time) {
+	if plan.prefillDone {
+		return
+	}
+	plan.prefillDone = true
+	pre, ok := p.engines[plan.Prefill.Name]
+	if !ok {
+		return
+	}
+	pre.ownTokens -= plan.Work
+	pre.ownRunning--
+	if took <= 0 {
+		return
+	}
+	pre.cache.stored(blocks, now)
+	if plan.Work >= minSampleTokens && pre.ownRunning == 0 {
+		pre.prefillRate = blend(pre.prefillRate, float64(plan.Work)/took.Seconds())
+	}
+}
+
+// TransferDone notes how long a transfer took.
+func (p *Planner) TransferDone(plan *Plan, tokens identifier.Tokens, took time.Duration) {
+	if tokens < minSampleTokens || took <= 0 {
+		return
+	}
+	key := linkKey{from: plan.Prefill.Name, to: plan.Decode.Name}
+	p.links[key] = blend(p.linkRate(key), float64(tokens)/took.Seconds())
+}
+
+// Release returns what is left of a plan: its decode seat, and its prefill
+// work where that did not end. It reports false where it was released before.
+func (p *Planner) Release(plan *Plan, now time.Time) bool {
+	if plan.released {
+		return false
+	}
+	plan.released = true
+	p.PrefillDone(plan, 0, nil, now)
+	dec, ok := p.engines[plan.Decode.Name]
+	if ok {
+		dec.ownRunning--
+	}
+	return true
+}
+
+func (p *Planner) linkRate(key linkKey) float64 {
+	rate, ok := p.links[key]
+	if !ok {
+		return defaultLinkRate
+	}
+	return rate
+}
+
+func (p *Planner) transferTime(pre, dec *engine, tokens identifier.Tokens) time.Duration {
+	key := linkKey{from: pre.upstream.Name, to: dec.upstream.Name}
+	took := duration(float64(tokens) / p.linkRate(key))
+	if pre.upstream.Zone != dec.upstream.Zone {
+		took += otherZonePenalty
+	}
+	return took
+}
+
+// transferBound is several times the expected time, from size and link rate.
+func (p *Planner) transferBound(plan *Plan, tokens identifier.Tokens) time.Duration {
+	const (
+		slack = 200 * time.Millisecond
+		times = 4
+	)
+	key := linkKey{from: plan.Prefill.Name, to: plan.Decode.Name}
+	return slack + times*duration(float64(tokens)/p.linkRate(key))
+}
+
+func blend(old, sample float64) float64 {
+	return old + rateWeight*(sample-old)
+}
+
+func duration(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/request/recorder/key.go
@@ -0,0 +1,42 @@
+package recorder
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/oklog/ulid/v2"
+)
+
+// Key is a caller's Idempotency-Key: a ULID or a UUIDv7, which carry the time
+// at which they were made.
+type Key string
+
+const (
+	ulidLength  = 26
+	uuidVersion = 7
+)
+
+// Time returns the time that the key carries.
+func (k Key) Time() (t time.Time, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("read the time of idempotency key %q: %w", k, err)
+		}
+	}()
+	if len(k) == ulidLength {
+		id, err := ulid.ParseStrict(string(k))
+		if err != nil {
+			return t, err
+		}
+		return ulid.Time(id.Time()), nil
+	}
+	id, err := uuid.Parse(string(k))
+	if err != nil {
+		return t, err
+	}
+	if id.Version() != uuidVersion {
+		return t, fmt.Errorf("a UUID of version %d carries no usable time", id.Version())
+	}
+	return time.Unix(id.Time().UnixTime()), nil
+}
--- /dev/null
+++ b/request/streamer/decode.go
@@ -0,0 +1,193 @@
+package streamer
+
+import (
+	"context"
+	"errors"
+
+	"sassafraspass.dev/sassafraspass/connection/dispatcher"
+	"sassafraspass.dev/sassafraspass/connection/messenger"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/asserter"
+	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/refuser"
+)
+
+// errSink says that the caller is gone.
+var errSink = errors.New("the caller is gone")
+
+// decode moves the KV cache and streams tokens. While a prefill result lives,
+// a failed transfer is tried once more with another decode engine.
+func (r *run) decode(ctx context.Context, seat *seatHolder, attempt identifier.AttemptID, result prefilled) *refuser.Refusal {
+	err := r.decodeAt(ctx, seat, attempt, result)
+	var stalled *transferError
+	if errors.As(err, &stalled) && r.reseat(ctx, seat, result) {
+		attempt = identifier.NewAttemptID()
+		r.Begin(ctx, messenger.Attempt{ID: attempt, Upstream: seat.plan.Decode.Name, Address: seat.plan.Decode.Address})
+		err = r.decodeAt(ctx, seat, attempt, result)
+	}
+	if err == nil {
+		r.End(attempt)
+		return nil
+	}
+	if len(r.texts) == 0 {
+		r.Meter.Event(meter.EventWastedPrefill)
+	}
+	return upstreamFailed("the decode failed")
+}
+
+// transferError says that a decode engine did not start its stream.
+type transferError struct {
+	err error
+}
+
+// Error returns the cause.
+func (e *transferError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *transferError) Unwrap() error { return e.err }
+
+// reseat takes a seat at another decode engine while the result lives.
+func (r *run) reseat(ctx context.Context, seat *seatHolder, result prefilled) bool {
+	if ctx.Err() != nil || !r.Clock.Now().Before(result.expires) {
+		return false
+	}
+	moved := r.Scheduler.Reseat(seat.plan, r.planRequest())
+	if moved == nil {
+		return false
+	}
+	seat.plan = moved
+	return true
+}
+
+// decodeAt streams one attempt. On any failure the attempt is cancelled at
+// both engines.
+func (r *run) decodeAt(ctx context.Context, seat *seatHolder, attempt identifier.AttemptID, result prefilled) (err error) {
+	plan := seat.plan
+	defer func() {
+		if err != nil {
+			r.Cancel(plan.Decode.Address, attempt)
+			r.Cancel(result.source.Address, attempt)
+		}
+	}()
+	stream, closeStream, err := r.open(ctx, seat, attempt, result)
+	if err != nil {
+		r.blame(ctx, plan.Decode.Name, meter.RetryTransfer, err)
+		return &transferError{err: err}
+	}
+	err = r.relay(ctx, stream, plan.Decode.Name, attempt)
+	closeStream()
+	if !errors.Is(err, dispatcher.ErrCut) || ctx.Err() != nil {
+		return err
+	}
+	return r.resumeCut(ctx, plan.Decode.Name, plan.Decode.Address, attempt, err)
+}
+
+// open starts the decode. The engine answers once it has the KV cache, so a
+// late answer is a stalled transfer.
+func (r *run) open(ctx context.Context, seat *seatHolder, attempt identifier.AttemptID, result prefilled) (stream *dispatcher.Stream, closeStream func(), err error) {
+	plan := seat.plan
+	streamCtx, cancel := context.WithCancel(ctx)
+	timer := r.Clock.AfterFunc(plan.TransferBound, cancel)
+	started := r.Clock.Now()
+	stream, err = r.Engines.Decode(streamCtx, plan.Decode.Address, dispatcher.DecodeRequest{
+		Attempt:    attempt,
+		Workspace:  r.job.Workspace.Name,
+		Model:      r.job.Model,
+		Prompt:     r.textSoFar(),
+		Source:     result.source,
+		FirstIndex: len(r.texts),
+		MaxTokens:  r.job.MaxOutput - len(r.texts),
+		Priority:   priorityOf(r.job.Class),
+	})
+	timer.Stop()
+	if err != nil {
+		cancel()
+		return nil, nil, err
+	}
+	r.Scheduler.TransferDone(plan, dispatcher.CountTokens(r.job.Prompt), r.Clock.Since(started))
+	closeStream = func() {
+		cancel()
+		stream.Close()
+	}
+	return stream, closeStream, nil
+}
+
+// resumeCut goes on with a stream that was cut while its engine lives.
+func (r *run) resumeCut(ctx context.Context, name identifier.UpstreamName, address identifier.Address, attempt identifier.AttemptID, cut error) error {
+	for range maxTries {
+		r.Meter.Retry(meter.RetryDecode)
+		before := len(r.texts)
+		stream, err := r.resume(ctx, address, attempt)
+		if err != nil {
+			r.blame(ctx, name, meter.RetryDecode, errors.Join(cut, err))
+			return cut
+		}
+		err = r.relay(ctx, stream, name, attempt)
+		stream.Close()
+		if !errors.Is(err, dispatcher.ErrCut) || ctx.Err() != nil {
+			return err
+		}
+		if len(r.texts) == before {
+			break
+		}
+	}
+	r.blame(ctx, name, meter.RetryDecode, cut)
+	return cut
+}
+
+func (r *run) resume(ctx context.Context, address identifier.Address, attempt identifier.AttemptID) (*dispatcher.Stream, error) {
+	streamCtx, cancel := context.WithCancel(ctx)
+	timer := r.Clock.AfterFunc(resumeTimeout, cancel)
+	defer timer.Stop()
+	stream, err := r.Engines.Resume(streamCtx, address, attempt, r.job.Workspace.Name, len(r.texts))
+	if err != nil {
+		cancel()
+	}
+	return stream, err
+}
+
+// relay passes frames to the caller until the end mark. It drops repeated
+// frames and takes a missing one for a cut.
+func (r *run) relay(ctx context.Context, stream *dispatcher.Stream, name identifier.UpstreamName, attempt identifier.AttemptID) error {
+	watchdog := r.Clock.AfterFunc(tokenTimeout, stream.Close)
+	defer watchdog.Stop()
+	defer func() { r.Meter.Add(meter.EventStrayFrame, int64(stream.Stray)) }()
+	for {
+		frame, err := stream.Next()
+		if err != nil {
+			return err
+		}
+		watchdog.Reset(tokenTimeout)
+		if frame.Index < len(r.texts) {
+			r.Meter.Event(meter.EventStrayFrame)
+			continue
+		}
+		if frame.Index > len(r.texts) {
+			return dispatcher.ErrCut
+		}
+		if frame.Done {
+			r.reason = frame.Reason
+			return nil
+		}
+		err = r.deliver(ctx, name, attempt, frame)
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (r *run) deliver(ctx context.Context, name identifier.UpstreamName, attempt identifier.AttemptID, frame dispatcher.Frame) error {
+	r.Assert.That(frame.Attempt == attempt, asserter.FrameOfOwnAttempt, "attempt", attempt, "frame", frame.Attempt)
+	r.Assert.That(frame.Index == len(r.texts), asserter.TokensInOrder, "index", frame.Index, "have", len(r.texts))
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	r.texts = append(r.texts, frame.Text)
+	r.Meter.Event(meter.EventToken)
+	err := r.sink(Token{Upstream: name, Attempt: attempt, Index: frame.Index, Text: frame.Text})
+	if err != nil {
+		r.gone = err
+		return errSink
+	}
+	return nil
+}
--- /dev/null
+++ b/request/streamer/streamer.go
@@ -0,0 +1,265 @@
+// Package streamer carries a completion through prefill and decode to its
+// caller.
+//
+//	queue for a pair with a decode seat -> prefill -> transfer -> decode -> caller
+//	        ^                                |          |          |
+//	        +----- another engine, with the prompt and the tokens so far
+package streamer
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"sassafraspass.dev/sassafraspass/connection/dispatcher"
+	"sassafraspass.dev/sassafraspass/connection/messenger"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/asserter"
+	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/request/planner"
+	"sassafraspass.dev/sassafraspass/request/queuer"
+	"sassafraspass.dev/sassafraspass/request/scheduler"
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+const (
+	maxTries = 4
+	// tokenTimeout is when a stream without frames counts as cut.
+	tokenTimeout  = 10 * time.Second
+	resumeTimeout = time.Second
+	retryAfter    = time.Second
+)
+
+// Job is one completion to serve.
+type Job struct {
+	Workspace parser.Workspace
+	Class     parser.Class
+	Model     identifier.ModelName
+	Prompt    string
+	MaxOutput int
+	Arrived   time.Time
+	// Deadline is when the first token is due.
+	Deadline time.Time
+}
+
+// Token is one token on its way to the caller.
+type Token struct {
+	Upstream identifier.UpstreamName
+	Attempt  identifier.AttemptID
+	Index    int
+	Text     string
+}
+
+// Sink takes the tokens of one completion, in order. An error means that the
+// caller is gone.
+type Sink func(token Token) error
+
+// Result is how a completion ended.
+type Result struct {
+	// Output counts the tokens that were generated.
+	Output int
+	// Reason is the engine's reason for the end; empty where it did not end.
+	Reason string
+}
+
+// Streamer serves completions.
+type Streamer struct {
+	Scheduler *scheduler.Scheduler
+	Engines   *dispatcher.Engines
+	// Begin journals attempts before they are sent.
+	Begin func(ctx context.Context, attempts ...messenger.Attempt)
+	// End removes an attempt that no engine holds any more.
+	End func(attempt identifier.AttemptID)
+	// Cancel ends an attempt at an engine; the journal follows.
+	Cancel func(address identifier.Address, attempt identifier.AttemptID)
+	Budget *Budget
+	Clock  clockwork.Clock
+	Log    *slog.Logger
+	Meter  *meter.Meter
+	Assert *asserter.Asserter
+}
+
+// run is the state of one completion.
+type run struct {
+	*Streamer
+	job    Job
+	sink   Sink
+	texts  []string
+	avoid  []identifier.UpstreamName
+	reason string
+	tries  int
+	// gone is the error of a sink whose caller is gone.
+	gone error
+}
+
+// Serve runs a completion to its end mark. After a refusal the tokens that
+// the sink has taken are not a whole answer.
+func (s *Streamer) Serve(ctx context.Context, job Job, sink Sink) (Result, *refuser.Refusal) {
+	r := &run{Streamer: s, job: job, sink: sink}
+	refusal := r.serve(ctx)
+	if refusal == nil {
+		s.Budget.Served()
+	}
+	return Result{Output: len(r.texts), Reason: r.reason}, refusal
+}
+
+func (r *run) serve(ctx context.Context) *refuser.Refusal {
+	for {
+		refusal := r.try(ctx)
+		if refusal == nil {
+			return nil
+		}
+		if ctx.Err() != nil || r.gone != nil {
+			return r.ended(ctx)
+		}
+		if refusal.Code != refuser.UpstreamFailed {
+			return refusal
+		}
+		r.tries++
+		if r.tries >= maxTries {
+			return refusal
+		}
+		if !r.Budget.Take() {
+			r.Meter.Retry(meter.RetryBudgetIsGone)
+			return refusal
+		}
+	}
+}
+
+// ended tells why a completion whose context ended has no answer.
+func (r *run) ended(ctx context.Context) *refuser.Refusal {
+	var cause *refuser.Refusal
+	if errors.As(context.Cause(ctx), &cause) {
+		return refuser.Unsettled(cause.Status, cause.Code, "%s", cause.Message)
+	}
+	return refuser.Unsettled(http.StatusRequestTimeout, refuser.CallerGone, "the caller is gone")
+}
+
+// try serves the completion, or what is left of it, through one pair.
+func (r *run) try(ctx context.Context) *refuser.Refusal {
+	plan, refusal := r.acquire(ctx)
+	if refusal != nil {
+		return refusal
+	}
+	seat := &seatHolder{scheduler: r.Scheduler, plan: plan}
+	defer seat.release()
+	attempt := identifier.NewAttemptID()
+	r.Begin(ctx,
+		messenger.Attempt{ID: attempt, Upstream: plan.Prefill.Name, Address: plan.Prefill.Address},
+		messenger.Attempt{ID: attempt, Upstream: plan.Decode.Name, Address: plan.Decode.Address})
+	prefilled, refusal := r.prefill(ctx, plan, attempt)
+	if refusal != nil {
+		r.Cancel(plan.Prefill.Address, attempt)
+		r.Cancel(plan.Decode.Address, attempt)
+		return refusal
+	}
+	return r.decode(ctx, seat, attempt, prefilled)
+}
+
+// acquire waits for a pair. Only the first token has a deadline.
+func (r *run) acquire(ctx context.Context) (*planner.Plan, *refuser.Refusal) {
+	deadline := r.job.Deadline
+	if len(r.texts) > 0 {
+		deadline = r.Clock.Now().Add(tokenTimeout)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	req := r.planRequest()
+	req.Deadline = deadline
+	item := &queuer.Item{
+		Workspace: r.job.Workspace.Name,
+		Class:     r.job.Class,
+		Cost:      req.Tokens + identifier.Tokens(r.job.MaxOutput),
+		Weight:    r.job.Workspace.Rate,
+		Arrived:   r.job.Arrived,
+		Deadline:  deadline,
+	}
+	return r.Scheduler.Acquire(ctx, scheduler.Request{Item: item, Plan: req})
+}
+
+func (r *run) planRequest() planner.Request {
+	prompt := r.textSoFar()
+	return planner.Request{
+		Model:  r.job.Model,
+		Tokens: dispatcher.CountTokens(prompt),
+		Blocks: dispatcher.PromptBlocks(r.job.Model, prompt),
+		Avoid:  r.avoid,
+	}
+}
+
+// textSoFar is the prompt with the tokens that the caller has.
+func (r *run) textSoFar() string {
+	return r.job.Prompt + strings.Join(r.texts, "")
+}
+
+// prefilled is a KV cache that waits in a prefill engine.
+type prefilled struct {
+	source  dispatcher.KVSource
+	expires time.Time
+}
+
+func (r *run) prefill(ctx context.Context, plan *planner.Plan, attempt identifier.AttemptID) (prefilled, *refuser.Refusal) {
+	prompt := r.textSoFar()
+	started := r.Clock.Now()
+	r.Meter.Event(meter.EventPrefill)
+	resp, err := r.Engines.Prefill(ctx, plan.Prefill.Address, dispatcher.PrefillRequest{
+		Attempt:   attempt,
+		Workspace: r.job.Workspace.Name,
+		Model:     r.job.Model,
+		Prompt:    prompt,
+		Priority:  priorityOf(r.job.Class),
+	})
+	if err != nil {
+		r.Scheduler.PrefillDone(plan, 0, nil)
+		r.blame(ctx, plan.Prefill.Name, meter.RetryPrefill, err)
+		return prefilled{}, upstreamFailed("the prefill failed")
+	}
+	now := r.Clock.Now()
+	r.Scheduler.PrefillDone(plan, now.Sub(started), dispatcher.PromptBlocks(r.job.Model, prompt))
+	return prefilled{
+		source:  dispatcher.KVSource{Address: plan.Prefill.Address, Handle: resp.Handle},
+		expires: now.Add(resp.Lifetime()),
+	}, nil
+}
+
+// blame avoids an engine for this request, and for all others a while, unless
+// the request itself was ended.
+func (r *run) blame(ctx context.Context, name identifier.UpstreamName, reason meter.RetryReason, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	r.Meter.Retry(reason)
+	r.Log.Warn("An engine failed.", "engine", name, "reason", reason, "err", err)
+	r.avoid = append(r.avoid, name)
+	var status *dispatcher.StatusError
+	if !errors.As(err, &status) {
+		r.Scheduler.Failed(name)
+	}
+}
+
+// seatHolder holds the plan whose seat is to be released.
+type seatHolder struct {
+	scheduler *scheduler.Scheduler
+	plan      *planner.Plan
+}
+
+func (h *seatHolder) release() {
+	h.scheduler.Release(h.plan)
+}
+
+func priorityOf(class parser.Class) int {
+	if class == parser.ClassInteractive {
+		return 0
+	}
+	return 1
+}
+
+func upstreamFailed(message string) *refuser.Refusal {
+	return refuser.Unsettled(http.StatusBadGateway, refuser.UpstreamFailed, "%s", message).After(retryAfter)
+}
--- /dev/null
+++ b/version/epocher/epocher.go
@@ -0,0 +1,127 @@
+// Package epocher folds the records of the epochs stream. An epoch names the
+// daemons that hold shares of the workspaces' limits. The log orders the
+// proposals, so that of racing ones the first wins.
+package epocher
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+)
+
+// Member is a daemon that holds shares.
+type Member struct {
+	Incarnation identifier.Incarnation `json:"incarnation"`
+	VM          identifier.VMName      `json:"vm"`
+	Peer        identifier.Address     `json:"peer"`
+}
+
+// Epoch is one set of holders.
+type Epoch struct {
+	// Number is the offset of the record that began the epoch.
+	Number  identifier.Offset `json:"number"`
+	Members []Member          `json:"members"`
+}
+
+// Proposal is the record that begins an epoch where the one it is based on is
+// still the newest.
+type Proposal struct {
+	BasedOn identifier.Offset `json:"based-on"`
+	Members []Member          `json:"members"`
+}
+
+// Has reports whether a daemon is a member.
+func (e Epoch) Has(incarnation identifier.Incarnation) bool {
+	return slices.ContainsFunc(e.Members, func(m Member) bool { return m.Incarnation == incarnation })
+}
+
+// BaseShare is the share that each member starts the epoch with.
+func (e Epoch) BaseShare() identifier.Parts {
+	if len(e.Members) == 0 {
+		return 0
+	}
+	return identifier.WholeParts / identifier.Parts(len(e.Members))
+}
+
+// Fold returns the epoch after a record. A broken or outdated record leaves
+// the epoch as it is.
+func Fold(current Epoch, offset identifier.Offset, data []byte) (next Epoch, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("fold epoch record %d: %w", offset, err)
+		}
+	}()
+	var proposal Proposal
+	err = json.Unmarshal(data, &proposal)
+	if err != nil {
+		return current, err
+	}
+	if proposal.BasedOn != current.Number {
+		return current, fmt.Errorf("based on epoch %d, the newest is %d", proposal.BasedOn, current.Number)
+	}
+	return Epoch{Number: offset, Members: proposal.Members}, nil
+}
+
+// Epocher holds the newest epoch that this daemon knows.
+type Epocher struct {
+	// Changed is told each new epoch, in order.
+	Changed func(Epoch)
+
+	mu    sync.Mutex
+	epoch Epoch
+	next  identifier.Offset
+}
+
+// New returns an epocher that knows no epoch yet.
+func New() *Epocher {
+	return &Epocher{
+		Changed: func(Epoch) {},
+		epoch:   Epoch{Number: identifier.NoOffset},
+	}
+}
+
+// Current returns the newest epoch.
+func (e *Epocher) Current() Epoch {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.epoch
+}
+
+// Next returns the offset of the record to read next.
+func (e *Epocher) Next() identifier.Offset {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.next
+}
+
+// Handle folds a record. Records that were read before are ignored.
+func (e *Epocher) Handle(offset identifier.Offset, data []byte) (err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if offset < e.next {
+		return nil
+	}
+	e.next = offset + 1
+	epoch, err := Fold(e.epoch, offset, data)
+	if err != nil {
+		return err
+	}
+	e.epoch = epoch
+	e.Changed(epoch)
+	return nil
+}
+
+// Install takes an epoch from a snapshot or a peer where it is newer.
+func (e *Epocher) Install(epoch Epoch) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if epoch.Number <= e.epoch.Number {
+		return
+	}
+	e.epoch = epoch
+	e.next = max(e.next, epoch.Number+1)
+	e.Changed(epoch)
+}
