Prove the path with separate processes, and name no daemon that is not ready

Cause: the first run of the rolling replacement failed: /v1/entry named daemons that had just started and refused with not-ready. Their beats said 'serving'. Ruled out: the limiter (no over-limit refusals), the planned stop (exit code 0, no cut stream).

--- a/process/allotter/allotter.go
+++ b/process/allotter/allotter.go
@@ -150,7 +150,7 @@
 		}
 	}
 	for _, peer := range a.Members.Live() {
-		joining := peer.State == heartbeater.StateServing && !peer.Drained
+		joining := peer.State != heartbeater.StateLeaving && !peer.Drained
 		if joining && !epoch.Has(peer.Incarnation) {
 			wanted = append(wanted, epocher.Member{Incarnation: peer.Incarnation, VM: peer.VM, Peer: peer.Peer})
 		}
--- /dev/null
+++ b/process/commander/processes_test.go
@@ -0,0 +1,391 @@
+package commander_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sassafraspass.dev/sassafraspass/connection/appender"
+	"sassafraspass.dev/sassafraspass/connection/dispatcher"
+	"sassafraspass.dev/sassafraspass/decoder"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/imitator"
+	"sassafraspass.dev/sassafraspass/process/server"
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+const (
+	workspace = "costing"
+	model     = "tiny"
+	firstKey  = "sp-first-key"
+	// promise bounds each wait for something that the system does in seconds.
+	promise = 5 * time.Second
+	// startBound bounds the start of processes on a busy machine.
+	startBound = 30 * time.Second
+	pollEvery  = 20 * time.Millisecond
+)
+
+var binary string
+
+// TestMain builds the program that the tests run as separate processes.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "sassafraspass")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "sassafraspass")
+	out, err := exec.Command("go", "build", "-o", binary, "../..").CombinedOutput()
+	if err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one running program.
+type process struct {
+	t   *testing.T
+	cmd *exec.Cmd
+	out lineLog
+	// exited closes when the program has ended.
+	exited chan struct{}
+}
+
+// lineLog keeps the lines that a program wrote.
+type lineLog struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (l *lineLog) follow(r io.Reader) {
+	scanner := bufio.NewScanner(r)
+	for scanner.Scan() {
+		l.mu.Lock()
+		l.lines = append(l.lines, scanner.Text())
+		l.mu.Unlock()
+	}
+}
+
+func (l *lineLog) find(pattern *regexp.Regexp) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range l.lines {
+		if match := pattern.FindStringSubmatch(line); match != nil {
+			return match
+		}
+	}
+	return nil
+}
+
+func (l *lineLog) tail() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Join(l.lines[max(0, len(l.lines)-30):], "\n")
+}
+
+func start(t *testing.T, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, cmd: exec.Command(binary, args...), exited: make(chan struct{})}
+	reader, writer := io.Pipe()
+	p.cmd.Stdout = writer
+	p.cmd.Stderr = writer
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go p.out.follow(reader)
+	go func() {
+		_ = p.cmd.Wait()
+		_ = writer.Close()
+		close(p.exited)
+	}()
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		<-p.exited
+		if t.Failed() {
+			t.Logf("%v wrote:\n%s", args, p.out.tail())
+		}
+	})
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// kill ends the program at once and waits for that.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+func (p *process) awaitMatch(pattern string) []string {
+	p.t.Helper()
+	var match []string
+	await(p.t, startBound, "a line like "+pattern, func() bool {
+		match = p.out.find(regexp.MustCompile(pattern))
+		return match != nil
+	})
+	return match
+}
+
+// await polls until a condition holds.
+func await(t *testing.T, bound time.Duration, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.After(bound)
+	for !holds() {
+		select {
+		case <-time.After(pollEvery):
+		case <-deadline:
+			t.Fatalf("waited %s for %s", bound, what)
+		}
+	}
+}
+
+// daemon is one daemon process and its addresses.
+type daemon struct {
+	*process
+	vm                        appender.VM
+	callers, peers, operators string
+}
+
+// deployment runs the log, engines, services and daemons as processes.
+type deployment struct {
+	t         *testing.T
+	log       string
+	engines   []string
+	services  []string
+	upstreams map[string]*process
+	daemons   []*daemon
+	vms       []appender.VM
+	pub       *parser.Publication
+}
+
+func startDeployment(t *testing.T, daemons int) *deployment {
+	t.Helper()
+	d := &deployment{t: t, upstreams: make(map[string]*process)}
+	d.log = listening(start(t, "stand-in", "-kind", "log", "-list-lag", "200ms"))
+	var engines, servers []parser.Upstream
+	for i := range 4 {
+		role := parser.RolePrefill
+		if i >= 2 {
+			role = parser.RoleDecode
+		}
+		engines = append(engines, d.startUpstream(string(role), i, role))
+	}
+	for i := range 2 {
+		servers = append(servers, d.startUpstream("service", i, parser.RolePlain))
+	}
+	for i := range daemons {
+		d.startDaemon(i, "127.0.0.1:0")
+	}
+	d.putVMs()
+	d.pub = publication(engines, servers)
+	d.publishFile(d.pub)
+	d.awaitReady()
+	return d
+}
+
+func listening(p *process) string {
+	return p.awaitMatch(`^listening (\S+)`)[1]
+}
+
+func (d *deployment) startUpstream(kind string, i int, role parser.Role) parser.Upstream {
+	name := fmt.Sprintf("%s-%d", kind, i)
+	p := start(d.t, "stand-in", "-kind", kind, "-name", name, "-token-time", "10ms")
+	address := listening(p)
+	d.upstreams[name] = p
+	if role == parser.RolePlain {
+		d.services = append(d.services, address)
+	} else {
+		d.engines = append(d.engines, address)
+	}
+	d.vms = append(d.vms, appender.VM{Name: identifier.VMName("vm-" + name), Zone: "zone-a", State: appender.VMLive})
+	upstream := parser.Upstream{
+		Name:    identifier.UpstreamName(name),
+		VM:      identifier.VMName("vm-" + name),
+		Zone:    "zone-a",
+		Address: identifier.Address(address),
+		Role:    role,
+	}
+	if role == parser.RoleDecode {
+		upstream.Seats = 20
+	}
+	return upstream
+}
+
+func publication(engines, servers []parser.Upstream) *parser.Publication {
+	profile := parser.Profile{Class: parser.ClassInteractive, Repeat: parser.RepeatAlways, Access: parser.AccessKey, Deadline: 5 * time.Second, MaxOutput: 4096, CallTokens: 1}
+	lock, open := profile, profile
+	profile.Name = "chat"
+	lock.Name, lock.Repeat = "lock", parser.RepeatNever
+	open.Name, open.Access = "open", parser.AccessOpen
+	return &parser.Publication{
+		Profiles: []parser.Profile{profile, lock, open},
+		Services: []parser.Service{
+			{Name: "model", Kind: parser.KindModel, Profile: "chat", Model: model, Upstreams: engines},
+			{Name: "price-lock", Kind: parser.KindPlain, Profile: "lock", Paths: []string{"/price-lock"}, Upstreams: servers},
+			{Name: "cost", Kind: parser.KindPlain, Profile: "chat", Paths: []string{"/cost"}, Upstreams: servers},
+			{Name: "hours", Kind: parser.KindPlain, Profile: "open", Paths: []string{"/hours"}, Upstreams: servers},
+		},
+		Workspaces: []parser.Workspace{{Name: workspace, Rate: 1_000_000, Burst: 2_000_000}},
+		Keys:       []parser.Key{{Digest: identifier.Digest(firstKey), Workspace: workspace}},
+	}
+}
+
+func (d *deployment) startDaemon(i int, peers string) *daemon {
+	d.t.Helper()
+	zone := fmt.Sprintf("zone-%c", 'a'+i%3)
+	settings := fmt.Sprintf(`{
+		// Written by the test.
+		"vm": "vm-entry-%d", "zone": %q,
+		"callers": "127.0.0.1:0", "peers": %q, "operators": "127.0.0.1:0",
+		"log": %q, "entry-max-age": "1s", "assertion": "fatal",
+	}`, i, zone, peers, d.log)
+	file := filepath.Join(d.t.TempDir(), fmt.Sprintf("settings-%d.json", i))
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	n := &daemon{process: start(d.t, "serve", "-settings", file)}
+	match := n.awaitMatch(`Started\..* callers=(\S+) peers=(\S+) operators=(\S+)`)
+	n.callers, n.peers, n.operators = match[1], match[2], match[3]
+	n.vm = appender.VM{
+		Name:     identifier.VMName(fmt.Sprintf("vm-entry-%d", i)),
+		Zone:     identifier.ZoneName(zone),
+		State:    appender.VMLive,
+		Peer:     identifier.Address(n.peers),
+		Operator: identifier.Address(n.operators),
+	}
+	d.daemons = append(d.daemons, n)
+	return n
+}
+
+// putVMs gives the platform's list the upstreams and the daemons.
+func (d *deployment) putVMs() {
+	d.t.Helper()
+	list := appender.VMList{VMs: d.vms}
+	for _, n := range d.daemons {
+		list.VMs = append(list.VMs, n.vm)
+	}
+	d.send(http.MethodPut, "http://"+d.log+"/v1/vms", list)
+}
+
+// fault makes a stand-in misbehave.
+func (d *deployment) fault(address string, faults imitator.Faults) {
+	d.t.Helper()
+	d.send(http.MethodPost, "http://"+address+imitator.PathFaults, faults)
+}
+
+func (d *deployment) send(method, url string, value any) {
+	d.t.Helper()
+	raw, err := json.Marshal(value)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	req, err := http.NewRequest(method, url, bytes.NewReader(raw))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		d.t.Fatalf("%s %s: status %d", method, url, resp.StatusCode)
+	}
+}
+
+// publishFile publishes with the program and fails the test where it fails.
+func (d *deployment) publishFile(pub *parser.Publication) {
+	d.t.Helper()
+	raw, err := decoder.Marshal(pub)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	file := filepath.Join(d.t.TempDir(), "publication.json")
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	d.run("publish", "-log", d.log, file)
+}
+
+// run runs a command to its end and returns what it printed.
+func (d *deployment) run(args ...string) string {
+	d.t.Helper()
+	out, err := exec.Command(binary, args...).CombinedOutput()
+	if err != nil {
+		d.t.Fatalf("%v: %v\n%s", args, err, out)
+	}
+	return string(out)
+}
+
+func (d *deployment) awaitReady() {
+	d.t.Helper()
+	for _, n := range d.daemons {
+		await(d.t, startBound, n.callers+" to be ready", func() bool {
+			resp, err := http.Get("http://" + n.callers + "/readyz")
+			if err != nil {
+				return false
+			}
+			_ = resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		})
+	}
+}
+
+func (d *deployment) status(n *daemon) (status server.Status) {
+	d.t.Helper()
+	d.get("http://"+n.operators+server.PathStatus, &status)
+	return status
+}
+
+func (d *deployment) get(url string, into any) {
+	d.t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// runs adds up what all servers of the plain service ran.
+func (d *deployment) runs() imitator.Runs {
+	d.t.Helper()
+	sum := imitator.Runs{ByBody: make(map[string]int)}
+	for _, address := range d.services {
+		var runs imitator.Runs
+		d.get("http://"+address+imitator.PathRuns, &runs)
+		sum.LeakedKeys += runs.LeakedKeys
+		for body, n := range runs.ByBody {
+			sum.ByBody[body] += n
+		}
+	}
+	return sum
+}
+
+// held returns how many attempts hold memory of an engine.
+func (d *deployment) held(engine string) int {
+	d.t.Helper()
+	var load dispatcher.Load
+	d.get("http://"+engine+dispatcher.PathLoad, &load)
+	return load.Held
+}
--- a/process/demonstrator/fleet.go
+++ b/process/demonstrator/fleet.go
@@ -105,9 +105,11 @@
 type Daemon struct {
 	*server.Server
 	VM appender.VM
-	// Stop begins a planned stop; Done gives its result.
+	// Stop begins a planned stop; Done gives its result once and then closes.
 	Stop context.CancelFunc
 	Done <-chan error
+	// Result is what Kill read from Done.
+	Result error
 
 	cleanup func()
 }
@@ -245,7 +247,10 @@
 		Done:    done,
 		cleanup: cleanup,
 	}
-	go func() { done <- daemon.Run(ctx) }()
+	go func() {
+		done <- daemon.Run(ctx)
+		close(done)
+	}()
 	f.Daemons = append(f.Daemons, d)
 	return d, nil
 }
@@ -316,7 +321,7 @@
 	d.Abort()
 	d.Stop()
 	select {
-	case _, _ = <-d.Done:
+	case d.Result = <-d.Done:
 	case <-time.After(stopTimeout):
 	}
 	d.cleanup()
--- a/process/heartbeater/members.go
+++ b/process/heartbeater/members.go
@@ -17,8 +17,10 @@
 
 // The states of a daemon.
 const (
-	StateServing State = "serving"
-	StateLeaving State = "leaving"
+	// StateStarting is before the daemon has a configuration and shares.
+	StateStarting State = "starting"
+	StateServing  State = "serving"
+	StateLeaving  State = "leaving"
 )
 
 // Beat is what one daemon says about itself.
--- a/process/journaler/journaler.go
+++ b/process/journaler/journaler.go
@@ -153,6 +153,18 @@
 	return len(j.running)
 }
 
+// IsFlushed reports whether the buddies know that no attempt is running.
+func (j *Journaler) IsFlushed() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, l := range j.lines {
+		if l.whole || l.busy || len(l.begun) > 0 || len(l.ended) > 0 {
+			return false
+		}
+	}
+	return len(j.running) == 0
+}
+
 func (j *Journaler) signal() {
 	select {
 	case j.wake <- struct{}{}:
--- a/process/server/peers.go
+++ b/process/server/peers.go
@@ -41,10 +41,6 @@
 
 // beat returns what this daemon says about itself.
 func (s *Server) beat() heartbeater.Beat {
-	state := heartbeater.StateServing
-	if s.leaving.Load() {
-		state = heartbeater.StateLeaving
-	}
 	b := heartbeater.Beat{
 		Incarnation: s.self.Incarnation,
 		VM:          s.self.VM,
@@ -52,7 +48,7 @@
 		Peer:        s.self.Peer,
 		Caller:      s.CallerAddress(),
 		Operator:    s.OperatorAddress(),
-		State:       state,
+		State:       s.state(),
 		Drained:     s.limiter.IsDrained(),
 		Version:     s.follower.Version().Number,
 		Epoch:       s.limiter.Epoch(),
@@ -70,6 +66,16 @@
 	return b
 }
 
+func (s *Server) state() heartbeater.State {
+	switch {
+	case s.leaving.Load():
+		return heartbeater.StateLeaving
+	case !s.isReady():
+		return heartbeater.StateStarting
+	}
+	return heartbeater.StateServing
+}
+
 // received takes a peer's answer to a beat that was sent at a time.
 func (s *Server) received(beat heartbeater.Beat, asked time.Time) {
 	s.learn(beat)
@@ -184,7 +190,7 @@
 // leaving, this one included.
 func (s *Server) entry(workspace parser.Workspace) steerer.Entry {
 	var daemons []steerer.Daemon
-	if !s.leaving.Load() {
+	if s.state() == heartbeater.StateServing {
 		daemons = append(daemons, steerer.Daemon{Incarnation: s.self.Incarnation, VM: s.self.VM, Zone: s.settings.Zone, Caller: s.CallerAddress()})
 	}
 	for _, member := range s.members.Live() {
--- a/process/server/stop.go
+++ b/process/server/stop.go
@@ -60,6 +60,7 @@
 	defer cancel()
 	s.await(ctx, func() bool { return s.writer.Len() == 0 })
 	s.await(ctx, func() bool { return s.canceller.Pending() == 0 })
+	s.await(ctx, func() bool { return s.journaler.IsFlushed() })
 	s.await(ctx, func() bool { return !s.epocher.Current().Has(s.self.Incarnation) || len(s.members.Live()) == 0 })
 	return nil
 }
