--- a/request/planner/engine.go
+++ b/request/planner/engine.go
@@ -28,6 +28,7 @@
 	leaving     bool
 	unlisted    bool
 	prefillRate float64
+	isRateKnown bool
 	cache       *cacheEstimate
 }
 
@@ -71,6 +72,17 @@
 	return duration(float64(tokens) / e.prefillRate)
 }
 
+// learnRate takes a sample of the prefill rate. The first one replaces the
+// default.
+func (e *engine) learnRate(sample float64) {
+	if !e.isRateKnown {
+		e.prefillRate = sample
+		e.isRateKnown = true
+		return
+	}
+	e.prefillRate = blend(e.prefillRate, sample)
+}
+
 func (e *engine) seatCost(now time.Time) time.Duration {
 	fill := float64(e.occupancy(now)) / float64(e.upstream.Seats)
 	return time.Duration(fill * float64(seatPenalty))
--- a/request/planner/planner.go
+++ b/request/planner/planner.go
@@ -33,6 +33,10 @@
 	reportFresh = 3 * time.Second
 	// minSampleTokens is the least work that gives a sample of a rate.
 	minSampleTokens = 64
+	// stallPenalty is added to the cost of a pair whose transfer stalled, for
+	// as long as stallMemory.
+	stallPenalty = time.Second
+	stallMemory  = 5 * time.Second
 )
 
 // Request is what the choice depends on.
@@ -66,6 +70,7 @@
 type Planner struct {
 	engines map[identifier.UpstreamName]*engine
 	links   map[linkKey]float64
+	stalls  map[linkKey]time.Time
 }
 
 type linkKey struct {
@@ -78,6 +83,7 @@
 	return &Planner{
 		engines: make(map[identifier.UpstreamName]*engine),
 		links:   make(map[linkKey]float64),
+		stalls:  make(map[linkKey]time.Time),
 	}
 }
 
@@ -114,7 +120,7 @@
 		uncached := req.Tokens - pre.cache.expectedHit(req.Blocks)
 		work := backlog + duration(float64(uncached)/pre.prefillRate)
 		for _, dec := range decodes {
-			cost := work + p.transferTime(pre, dec, req.Tokens) + dec.seatCost(now)
+			cost := work + p.transferTime(now, pre, dec, req.Tokens) + dec.seatCost(now)
 			if best == nil || cost < best.Expected {
 				best = &Plan{Prefill: pre.upstream, Decode: dec.upstream, Expected: cost, Work: uncached}
 			}
@@ -168,14 +174,17 @@
 }
 
 // Fastest returns the least time in which a prompt can be prefilled, for
-// refusing what cannot meet its deadline any more. It is zero while no engine
-// is usable.
+// refusing what cannot meet its deadline any more. It is zero while that is
+// not known.
 func (p *Planner) Fastest(now time.Time, req Request) time.Duration {
 	fastest := time.Duration(math.MaxInt64)
 	for _, e := range p.engines {
 		if e.model != req.Model || e.upstream.Role != parser.RolePrefill || !e.isUsable(now) {
 			continue
 		}
+		if !e.isRateKnown {
+			return 0
+		}
 		uncached := req.Tokens - e.cache.expectedHit(req.Blocks)
 		fastest = min(fastest, duration(float64(uncached)/e.prefillRate))
 	}
@@ -233,7 +242,7 @@
 	}
 	pre.cache.stored(blocks, now)
 	if plan.Work >= minSampleTokens && pre.ownRunning == 0 {
-		pre.prefillRate = blend(pre.prefillRate, float64(plan.Work)/took.Seconds())
+		pre.learnRate(float64(plan.Work) / took.Seconds())
 	}
 }
 
@@ -246,6 +255,12 @@
 	p.links[key] = blend(p.linkRate(key), float64(tokens)/took.Seconds())
 }
 
+// TransferFailed notes that a transfer stalled, so that the pair costs more for
+// a while.
+func (p *Planner) TransferFailed(plan *Plan, now time.Time) {
+	p.stalls[linkKey{from: plan.Prefill.Name, to: plan.Decode.Name}] = now
+}
+
 // Release returns what is left of a plan: its decode seat, and its prefill
 // work where that did not end. It reports false where it was released before.
 func (p *Planner) Release(plan *Plan, now time.Time) bool {
@@ -269,12 +284,16 @@
 	return rate
 }
 
-func (p *Planner) transferTime(pre, dec *engine, tokens identifier.Tokens) time.Duration {
+func (p *Planner) transferTime(now time.Time, pre, dec *engine, tokens identifier.Tokens) time.Duration {
 	key := linkKey{from: pre.upstream.Name, to: dec.upstream.Name}
 	took := duration(float64(tokens) / p.linkRate(key))
 	if pre.upstream.Zone != dec.upstream.Zone {
 		took += otherZonePenalty
 	}
+	stalledAt, stalled := p.stalls[key]
+	if stalled && now.Sub(stalledAt) < stallMemory {
+		took += stallPenalty
+	}
 	return took
 }
 
--- a/request/scheduler/scheduler.go
+++ b/request/scheduler/scheduler.go
@@ -213,6 +213,11 @@
 	s.Update(func(p *planner.Planner, _ time.Time) { p.TransferDone(plan, tokens, took) })
 }
 
+// TransferFailed notes that a transfer stalled.
+func (s *Scheduler) TransferFailed(plan *planner.Plan) {
+	s.Update(func(p *planner.Planner, now time.Time) { p.TransferFailed(plan, now) })
+}
+
 // Failed marks an engine that did not answer.
 func (s *Scheduler) Failed(name identifier.UpstreamName) {
 	s.Update(func(p *planner.Planner, now time.Time) { p.Failed(name, now) })
--- a/request/streamer/decode.go
+++ b/request/streamer/decode.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 
 	"sassafraspass.dev/sassafraspass/connection/dispatcher"
 	"sassafraspass.dev/sassafraspass/connection/messenger"
@@ -16,32 +17,54 @@
 var errSink = errors.New("the caller is gone")
 
 // decode moves the KV cache and streams tokens. While a prefill result lives,
-// a failed transfer is tried once more with another decode engine.
+// a failed transfer is tried once more with another decode engine. Where that
+// fails too, the prefill engine is the one to avoid.
 func (r *run) decode(ctx context.Context, seat *seatHolder, attempt identifier.AttemptID, result prefilled) *refuser.Refusal {
+	prefill := seat.plan.Prefill.Name
+	first := seat.plan.Decode.Name
 	err := r.decodeAt(ctx, seat, attempt, result)
-	var stalled *transferError
-	if errors.As(err, &stalled) && r.reseat(ctx, seat, result) {
-		attempt = identifier.NewAttemptID()
-		r.Begin(ctx, messenger.Attempt{ID: attempt, Upstream: seat.plan.Decode.Name, Address: seat.plan.Decode.Address})
-		err = r.decodeAt(ctx, seat, attempt, result)
+	var failed *transferError
+	if errors.As(err, &failed) && failed.kind != transferRefused {
+		r.avoid = append(r.avoid, first)
+		if r.reseat(ctx, seat, result) {
+			attempt = identifier.NewAttemptID()
+			r.Begin(ctx, messenger.Attempt{ID: attempt, Upstream: seat.plan.Decode.Name, Address: seat.plan.Decode.Address})
+			err = r.decodeAt(ctx, seat, attempt, result)
+		}
 	}
 	if err == nil {
 		r.End(attempt)
 		return nil
 	}
+	if errors.As(err, &failed) && failed.kind != transferUnreached {
+		r.avoid = []identifier.UpstreamName{prefill}
+	}
 	if len(r.texts) == 0 {
 		r.Meter.Event(meter.EventWastedPrefill)
 	}
 	return upstreamFailed("the decode failed")
 }
 
+// transferKind tells how a transfer failed.
+type transferKind string
+
+const (
+	// transferStalled means that the decode engine did not start in time.
+	transferStalled transferKind = "stalled"
+	// transferRefused means that the decode engine could not get the KV cache.
+	transferRefused transferKind = "refused"
+	// transferUnreached means that the decode engine did not answer.
+	transferUnreached transferKind = "unreached"
+)
+
 // transferError says that a decode engine did not start its stream.
 type transferError struct {
-	err error
+	kind transferKind
+	err  error
 }
 
-// Error returns the cause.
-func (e *transferError) Error() string { return e.err.Error() }
+// Error returns the kind and the cause.
+func (e *transferError) Error() string { return string(e.kind) + ": " + e.err.Error() }
 
 // Unwrap returns the cause.
 func (e *transferError) Unwrap() error { return e.err }
@@ -71,8 +94,8 @@
 	}()
 	stream, closeStream, err := r.open(ctx, seat, attempt, result)
 	if err != nil {
-		r.blame(ctx, plan.Decode.Name, meter.RetryTransfer, err)
-		return &transferError{err: err}
+		r.noteTransfer(ctx, seat, err)
+		return err
 	}
 	err = r.relay(ctx, stream, plan.Decode.Name, attempt)
 	closeStream()
@@ -87,7 +110,11 @@
 func (r *run) open(ctx context.Context, seat *seatHolder, attempt identifier.AttemptID, result prefilled) (stream *dispatcher.Stream, closeStream func(), err error) {
 	plan := seat.plan
 	streamCtx, cancel := context.WithCancel(ctx)
-	timer := r.Clock.AfterFunc(plan.TransferBound, cancel)
+	var stalled atomic.Bool
+	timer := r.Clock.AfterFunc(plan.TransferBound, func() {
+		stalled.Store(true)
+		cancel()
+	})
 	started := r.Clock.Now()
 	stream, err = r.Engines.Decode(streamCtx, plan.Decode.Address, dispatcher.DecodeRequest{
 		Attempt:    attempt,
@@ -102,7 +129,7 @@
 	timer.Stop()
 	if err != nil {
 		cancel()
-		return nil, nil, err
+		return nil, nil, &transferError{kind: kindOf(err, stalled.Load()), err: err}
 	}
 	r.Scheduler.TransferDone(plan, dispatcher.CountTokens(r.job.Prompt), r.Clock.Since(started))
 	closeStream = func() {
@@ -112,6 +139,33 @@
 	return stream, closeStream, nil
 }
 
+func kindOf(err error, stalled bool) transferKind {
+	var status *dispatcher.StatusError
+	switch {
+	case stalled:
+		return transferStalled
+	case errors.As(err, &status):
+		return transferRefused
+	}
+	return transferUnreached
+}
+
+// noteTransfer counts a failed transfer. A decode engine that does not answer
+// gets no work for a while; a stall makes the pair look slow.
+func (r *run) noteTransfer(ctx context.Context, seat *seatHolder, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	r.Meter.Retry(meter.RetryTransfer)
+	r.Log.Warn("A transfer failed.", "prefill", seat.plan.Prefill.Name, "decode", seat.plan.Decode.Name, "err", err)
+	var failed *transferError
+	if errors.As(err, &failed) && failed.kind == transferUnreached {
+		r.Scheduler.Failed(seat.plan.Decode.Name)
+		return
+	}
+	r.Scheduler.TransferFailed(seat.plan)
+}
+
 // resumeCut goes on with a stream that was cut while its engine lives.
 func (r *run) resumeCut(ctx context.Context, name identifier.UpstreamName, address identifier.Address, attempt identifier.AttemptID, cut error) error {
 	for range maxTries {
