--- a/process/commander/processes_test.go
+++ b/process/commander/processes_test.go
@@ -173,7 +173,8 @@
 	upstreams map[string]*process
 	daemons   []*daemon
 	vms       []appender.VM
-	pub       *parser.Publication
+	// extraSettings are lines for the settings of each daemon.
+	extraSettings string
 }
 
 func startDeployment(t *testing.T, daemons int) *deployment {
@@ -195,8 +196,7 @@
 		d.startDaemon(i, "127.0.0.1:0")
 	}
 	d.putVMs()
-	d.pub = publication(engines, servers)
-	d.publishFile(d.pub)
+	d.publishFile(publication(engines, servers))
 	d.awaitReady()
 	return d
 }
@@ -256,7 +256,8 @@
 		"vm": "vm-entry-%d", "zone": %q,
 		"callers": "127.0.0.1:0", "peers": %q, "operators": "127.0.0.1:0",
 		"log": %q, "entry-max-age": "1s", "assertion": "fatal",
-	}`, i, zone, peers, d.log)
+		%s
+	}`, i, zone, peers, d.log, d.extraSettings)
 	file := filepath.Join(d.t.TempDir(), fmt.Sprintf("settings-%d.json", i))
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		d.t.Fatal(err)
