--- a/connection/dispatcher/service.go
+++ b/connection/dispatcher/service.go
@@ -146,6 +146,9 @@
 // EndToEndHeader returns the headers without those of one connection.
 func EndToEndHeader(from http.Header) http.Header {
 	header := from.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
 	for _, list := range from.Values("Connection") {
 		for name := range strings.SplitSeq(list, ",") {
 			header.Del(strings.TrimSpace(name))
--- a/process/commander/commander.go
+++ b/process/commander/commander.go
@@ -40,7 +40,14 @@
 func (c *Commander) Run(args []string) ExitCode {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	err := c.root().ParseAndRun(ctx, args)
+	root := c.root()
+	err := root.Parse(args)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		err = fmt.Errorf("%w: %w", errUsage, err)
+	}
+	if err == nil {
+		err = root.Run(ctx)
+	}
 	if err != nil && !errors.Is(err, flag.ErrHelp) {
 		_, _ = fmt.Fprintln(c.err, "sassafraspass:", err)
 	}
--- /dev/null
+++ b/process/heartbeater/members_test.go
@@ -0,0 +1,82 @@
+package heartbeater
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"sassafraspass.dev/sassafraspass/connection/appender"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/version/epocher"
+)
+
+var member = epocher.Member{Incarnation: "m", VM: "vm-m", Peer: "10.0.0.1:1"}
+
+func TestProofsThatADaemonIsGone(t *testing.T) {
+	tests := []struct {
+		name  string
+		act   func(m *Members, clock *clockwork.FakeClock)
+		proof GoneProof
+	}{
+		{"silence proves nothing", func(_ *Members, clock *clockwork.FakeClock) { clock.Advance(time.Hour) }, ProofNone},
+		{"one refusal is not enough", func(m *Members, clock *clockwork.FakeClock) { m.Refused(member.Peer, clock.Now()) }, ProofNone},
+		{"refused twice", func(m *Members, clock *clockwork.FakeClock) {
+			m.Refused(member.Peer, clock.Now())
+			m.Refused(member.Peer, clock.Now())
+		}, ProofRefused},
+		{"an answer between refusals", func(m *Members, clock *clockwork.FakeClock) {
+			m.Refused(member.Peer, clock.Now())
+			m.Answered(member.Peer, member.Incarnation, clock.Now())
+			m.Refused(member.Peer, clock.Now())
+		}, ProofNone},
+		{"another process at its address", func(m *Members, clock *clockwork.FakeClock) {
+			clock.Advance(time.Second)
+			m.Answered(member.Peer, "later", clock.Now())
+		}, ProofReplaced},
+		{"handed over", func(m *Members, _ *clockwork.FakeClock) {
+			m.Heard(Beat{Incarnation: member.Incarnation, Peer: member.Peer, Drained: true})
+		}, ProofDrained},
+		{"missing from one reading", func(m *Members, _ *clockwork.FakeClock) {
+			m.Listed(nil, []epocher.Member{member})
+		}, ProofNone},
+		{"missing from two readings apart", func(m *Members, clock *clockwork.FakeClock) {
+			m.Listed(nil, []epocher.Member{member})
+			clock.Advance(GoneAfter)
+			m.Listed(nil, []epocher.Member{member})
+		}, ProofUnlisted},
+		{"listed again between", func(m *Members, clock *clockwork.FakeClock) {
+			m.Listed(nil, []epocher.Member{member})
+			clock.Advance(GoneAfter)
+			m.Listed([]appender.VM{{Name: member.VM}}, []epocher.Member{member})
+			m.Listed(nil, []epocher.Member{member})
+		}, ProofNone},
+		{"missing but heard by a peer", func(m *Members, clock *clockwork.FakeClock) {
+			m.Listed(nil, []epocher.Member{member})
+			clock.Advance(GoneAfter)
+			m.Heard(Beat{Incarnation: "peer", Heard: []identifier.Incarnation{member.Incarnation}})
+			m.Listed(nil, []epocher.Member{member})
+		}, ProofNone},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := clockwork.NewFakeClock()
+			m := NewMembers(clock, "self")
+			is.Equal(m.Proof(member), ProofNone)
+			test.act(m, clock)
+			is.Equal(m.Proof(member), test.proof)
+		})
+	}
+}
+
+func TestWhatAnAddressDidBeforeAMemberStartedProvesNothing(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	m := NewMembers(clock, "self")
+	m.Answered(member.Peer, "earlier", clock.Now())
+	m.Refused(member.Peer, clock.Now())
+	m.Refused(member.Peer, clock.Now())
+	is.Equal(m.Proof(member), ProofNone)
+}
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -332,13 +332,14 @@
 		Log:    onceLog,
 	}
 	s.forwarder = &forwarder.Forwarder{
-		Services: services,
-		Picker:   s.picker,
-		Recorder: s.recorder,
-		Budget:   streamer.NewBudget(),
-		Log:      logger.For(log, logger.Upstream),
-		Meter:    s.meter,
-		Assert:   s.assert,
+		Repeatable: services.Repeatable,
+		Once:       services.Once,
+		Picker:     s.picker,
+		Recorder:   s.recorder,
+		Budget:     streamer.NewBudget(),
+		Log:        logger.For(log, logger.Upstream),
+		Meter:      s.meter,
+		Assert:     s.assert,
 	}
 }
 
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -47,13 +47,16 @@
 
 // Forwarder carries calls to the servers of plain services.
 type Forwarder struct {
-	Services *dispatcher.Services
-	Picker   *picker.Picker
-	Recorder *recorder.Recorder
-	Budget   *streamer.Budget
-	Log      *slog.Logger
-	Meter    *meter.Meter
-	Assert   *asserter.Asserter
+	// Repeatable sends a call that may be sent again, Once one that may not.
+	// Their errors are *dispatcher.SendError.
+	Repeatable Sender
+	Once       Sender
+	Picker     *picker.Picker
+	Recorder   *recorder.Recorder
+	Budget     *streamer.Budget
+	Log        *slog.Logger
+	Meter      *meter.Meter
+	Assert     *asserter.Asserter
 }
 
 // Forward carries one call under its route. The context ends with the caller
@@ -83,7 +86,7 @@
 func (f *Forwarder) repeatable(ctx context.Context, upstreams []parser.Upstream, call dispatcher.Call) (answer Answer, done func(), refusal *refuser.Refusal) {
 	for try := range maxTries {
 		upstream := upstreams[try%len(upstreams)]
-		answer, done, err := f.exchange(ctx, upstream, call, f.Services.Repeatable)
+		answer, done, err := f.exchange(ctx, upstream, call, f.Repeatable)
 		isLast := try == maxTries-1 || ctx.Err() != nil
 		if err == nil && (!isRetryable(answer.Status) || isLast) {
 			f.Budget.Served()
@@ -164,7 +167,7 @@
 func (f *Forwarder) sendOnce(ctx context.Context, upstreams []parser.Upstream, call dispatcher.Call) (answer Answer, done func(), refusal *refuser.Refusal) {
 	sends := 0
 	for _, upstream := range upstreams[:min(maxTries, len(upstreams))] {
-		answer, done, err := f.exchange(ctx, upstream, call, f.Services.Once)
+		answer, done, err := f.exchange(ctx, upstream, call, f.Once)
 		if err == nil {
 			f.Budget.Served()
 			return answer, done, nil
@@ -190,11 +193,11 @@
 	return !errors.As(err, &sendErr) || sendErr.Sent
 }
 
-// sender sends a call to one server.
-type sender func(ctx context.Context, address identifier.Address, call dispatcher.Call) (*http.Response, error)
+// Sender sends a call to one server.
+type Sender func(ctx context.Context, address identifier.Address, call dispatcher.Call) (*http.Response, error)
 
 // exchange sends a call and reads the answer whole, or the head of a long one.
-func (f *Forwarder) exchange(ctx context.Context, upstream parser.Upstream, call dispatcher.Call, send sender) (answer Answer, done func(), err error) {
+func (f *Forwarder) exchange(ctx context.Context, upstream parser.Upstream, call dispatcher.Call, send Sender) (answer Answer, done func(), err error) {
 	end := f.Picker.Begin(upstream.Name)
 	resp, err := send(ctx, upstream.Address, call) //nolint:bodyclose // the done function closes it
 	if err != nil {
--- /dev/null
+++ b/version/folder/folder_test.go
@@ -0,0 +1,180 @@
+package folder
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"sassafraspass.dev/sassafraspass/decoder"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+// init fixes the seed of the property tests.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+}
+
+func encode(t interface{ Fatal(...any) }, pub parser.Publication) []byte {
+	raw, err := decoder.Marshal(pub)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+func workspacePublication(id string, basedOn identifier.Offset, rate identifier.Tokens) parser.Publication {
+	return parser.Publication{
+		ID:         identifier.PublicationID(id),
+		BasedOn:    &basedOn,
+		Workspaces: []parser.Workspace{{Name: "w", Rate: rate, Burst: 10}},
+	}
+}
+
+func TestRacingPublicationIsRejected(t *testing.T) {
+	is := is.New(t)
+	f := New(NewVersion())
+	is.True(f.Fold(0, encode(t, workspacePublication("a", -1, 1))).Accepted)
+	is.True(f.Fold(1, encode(t, workspacePublication("b", 0, 2))).Accepted)
+	lost := f.Fold(2, encode(t, workspacePublication("c", 0, 3)))
+	is.True(!lost.Accepted)
+	is.Equal(f.Version().Workspaces["w"].Rate, identifier.Tokens(2))
+	is.Equal(f.Version().Number, identifier.Offset(2))
+}
+
+func TestRepeatedPublicationChangesNothing(t *testing.T) {
+	is := is.New(t)
+	f := New(NewVersion())
+	first := f.Fold(0, encode(t, workspacePublication("a", -1, 1)))
+	is.True(f.Fold(1, encode(t, workspacePublication("b", 0, 2))).Accepted)
+	is.Equal(f.Fold(2, encode(t, workspacePublication("a", -1, 1))), first)
+	is.Equal(f.Version().Workspaces["w"].Rate, identifier.Tokens(2))
+}
+
+func TestWithdrawnKeyNeverComesBack(t *testing.T) {
+	is := is.New(t)
+	f := New(NewVersion())
+	digest := identifier.Digest("k")
+	based := identifier.NoOffset
+	key := parser.Publication{ID: "k", BasedOn: &based, Workspaces: []parser.Workspace{{Name: "w", Rate: 1, Burst: 1}}, Keys: []parser.Key{{Digest: digest, Workspace: "w"}}}
+	is.True(f.Fold(0, encode(t, key)).Accepted)
+	is.True(f.Fold(1, encode(t, parser.Publication{ID: "x", BasedOn: &based, Withdrawals: []identifier.KeyDigest{digest}})).Accepted)
+	_, ok := f.Version().Keys[digest]
+	is.True(!ok)
+	based = 1
+	key.ID = "again"
+	is.True(!f.Fold(2, encode(t, key)).Accepted)
+}
+
+func TestReferencesToUnknownObjectsAreRejected(t *testing.T) {
+	based := identifier.NoOffset
+	tests := []struct {
+		name string
+		pub  parser.Publication
+	}{
+		{"profile", parser.Publication{BasedOn: &based, Services: []parser.Service{{Name: "s", Kind: parser.KindPlain, Profile: "p", Paths: []string{"/"}}}}},
+		{"workspace", parser.Publication{BasedOn: &based, Keys: []parser.Key{{Digest: identifier.Digest("k"), Workspace: "w"}}}},
+		{"no base", parser.Publication{Workspaces: []parser.Workspace{{Name: "w", Rate: 1, Burst: 1}}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(!New(NewVersion()).Fold(0, encode(t, test.pub)).Accepted)
+		})
+	}
+}
+
+// TestFoldIsAPureFunctionOfTheRecords folds the same records whole, in parts
+// with versions taken between, and through a snapshot at a random offset.
+func TestFoldIsAPureFunctionOfTheRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOfN(rapid.Custom(drawRecord), 1, 30).Draw(t, "records")
+		cut := rapid.IntRange(0, len(records)-1).Draw(t, "cut")
+		whole := New(NewVersion())
+		parts := New(NewVersion())
+		var resumed *Folder
+		for i, record := range records {
+			offset := identifier.Offset(i)
+			whole.Fold(offset, record)
+			before := parts.Version().Number
+			parts.Fold(offset, record)
+			if parts.Version().Number <= before {
+				t.Fatal("a version went back")
+			}
+			if resumed != nil {
+				resumed.Fold(offset, record)
+				resumed.Fold(offset, record) // a repeat is ignored
+			}
+			if i == cut {
+				snapshot, err := Marshal(parts.Version())
+				if err != nil {
+					t.Fatal(err)
+				}
+				version, err := Unmarshal(snapshot)
+				if err != nil {
+					t.Fatal(err)
+				}
+				resumed = New(version)
+			}
+		}
+		want, _ := Marshal(whole.Version())
+		for _, f := range []*Folder{parts, resumed} {
+			got, _ := Marshal(f.Version())
+			if string(got) != string(want) {
+				t.Fatalf("folds differ:\n%s\n%s", got, want)
+			}
+		}
+	})
+}
+
+func drawRecord(t *rapid.T) []byte {
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0:
+		return []byte(rapid.String().Draw(t, "garbage"))
+	case 1:
+		based := identifier.Offset(rapid.IntRange(-1, 30).Draw(t, "based"))
+		digest := identifier.Digest(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "key")))
+		if rapid.Bool().Draw(t, "withdraw") {
+			return encode(t, parser.Publication{BasedOn: &based, Withdrawals: []identifier.KeyDigest{digest}})
+		}
+		return encode(t, parser.Publication{BasedOn: &based, Keys: []parser.Key{{Digest: digest, Workspace: "w"}}})
+	}
+	id := fmt.Sprint(rapid.IntRange(0, 10).Draw(t, "id"))
+	based := identifier.Offset(rapid.IntRange(-1, 30).Draw(t, "based"))
+	return encode(t, workspacePublication(id, based, identifier.Tokens(rapid.IntRange(1, 9).Draw(t, "rate"))))
+}
+
+func BenchmarkFoldOf10000Records(b *testing.B) {
+	const count = 10_000
+	records := make([][]byte, count)
+	for i := range records {
+		name := identifier.WorkspaceName(fmt.Sprintf("w%d", i%580))
+		based := identifier.Offset(i - 1)
+		records[i] = encode(b, parser.Publication{
+			ID:         identifier.PublicationID(fmt.Sprint(i)),
+			BasedOn:    &based,
+			Workspaces: []parser.Workspace{{Name: name, Rate: identifier.Tokens(i + 1), Burst: 10}},
+		})
+	}
+	for b.Loop() {
+		f := New(NewVersion())
+		for i, record := range records {
+			f.Fold(identifier.Offset(i), record)
+		}
+	}
+}
+
+func FuzzFoldNeverPanics(f *testing.F) {
+	f.Add([]byte(`{"workspaces": [{"name": "w", "rate": 1, "burst": 1}], "based-on": -1}`))
+	f.Add([]byte("{\n// comment\n}"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		folder := New(NewVersion())
+		folder.Fold(0, data)
+		if folder.Version().Number != 0 {
+			t.Fatal("a record was not folded")
+		}
+	})
+}
