Keep a daemon that was left out by the list from spending its old share

Cause: reading the code for pauses showed two holes. A request that waited for tokens in a paused daemon was granted at once when the daemon went on, whether or not its share had passed to others. And a daemon that the list misses and no peer hears may still read the log, slowly, and spend for 4 s after the epoch that leaves it out, while the others already use its share. Ruled out: the admitter's check alone (it runs before the wait). Change: the limiter grants only while the epoch is known to be current; an epoch that drops a member on the list's word settles 5 s later; the newest epoch is read without a lock, as the limiter now asks for it under its own.

--- a/process/allotter/allotter.go
+++ b/process/allotter/allotter.go
@@ -15,6 +15,7 @@
 
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/confirmer"
 	"sassafraspass.dev/sassafraspass/process/heartbeater"
 	"sassafraspass.dev/sassafraspass/request/limiter"
 	"sassafraspass.dev/sassafraspass/version/epocher"
@@ -28,6 +29,9 @@
 	// proposeEvery is the least time between two proposals of one daemon.
 	proposeEvery  = time.Second
 	appendTimeout = 2 * time.Second
+	// staleWait is how long a member that was left out may still act on what
+	// it knew when the epoch began.
+	staleWait = confirmer.StaleAfter + time.Second
 )
 
 // Allotter runs the epochs of one daemon.
@@ -52,6 +56,8 @@
 	wantedSince time.Time
 	proposedAt  time.Time
 	wasMember   bool
+	enteredAt   time.Time
+	entered     identifier.Offset
 }
 
 // Run settles and proposes epochs until the context ends.
@@ -105,6 +111,13 @@
 	if !epoch.Has(a.Self.Incarnation) || a.Limiter.Epoch() != epoch.Number {
 		return false
 	}
+	if a.entered != epoch.Number || a.enteredAt.IsZero() {
+		a.entered = epoch.Number
+		a.enteredAt = a.Clock.Now()
+	}
+	if epoch.WaitForStale && a.Clock.Since(a.enteredAt) < staleWait {
+		return false
+	}
 	for _, member := range epoch.Members {
 		if member.Incarnation == a.Self.Incarnation {
 			continue
@@ -180,13 +193,18 @@
 			err = fmt.Errorf("propose after epoch %d: %w", epoch.Number, err)
 		}
 	}()
+	proposal := epocher.Proposal{BasedOn: epoch.Number, Members: a.wanted}
 	for _, member := range epoch.Members {
 		proof := a.Members.Proof(member)
-		if proof != heartbeater.ProofNone {
-			a.Log.Info("A daemon is gone.", "vm", member.VM, "incarnation", member.Incarnation, "proof", proof)
+		if proof == heartbeater.ProofNone {
+			continue
 		}
+		a.Log.Info("A daemon is gone.", "vm", member.VM, "incarnation", member.Incarnation, "proof", proof)
+		proposal.WaitForStale = proposal.WaitForStale || proof == heartbeater.ProofUnlisted
 	}
-	data, err := json.Marshal(epocher.Proposal{BasedOn: epoch.Number, Members: a.wanted})
+	// Whoever is still waited for in this epoch is waited for in the next.
+	proposal.WaitForStale = proposal.WaitForStale || (epoch.WaitForStale && !a.Limiter.IsSettled())
+	data, err := json.Marshal(proposal)
 	if err != nil {
 		return err
 	}
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -255,6 +255,7 @@
 func (s *Server) wireLimits(log *slog.Logger) {
 	sharesLog := logger.For(log, logger.Shares)
 	s.limiter = limiter.New(s.clock, s.assert)
+	s.limiter.IsCurrent = s.confirmer.IsCurrent
 	s.borrower = borrower.New()
 	s.borrower.Self = s.self.Incarnation
 	s.borrower.Limiter = s.limiter
--- a/request/limiter/limiter.go
+++ b/request/limiter/limiter.go
@@ -42,6 +42,10 @@
 
 // Limiter admits requests within this daemon's shares.
 type Limiter struct {
+	// IsCurrent reports whether the epoch is known to be the newest. A daemon
+	// that was paused or cut off may have been left out of a newer one.
+	IsCurrent func() bool
+
 	clock  clockwork.Clock
 	assert *asserter.Asserter
 	// short carries the workspaces that lack tokens to the borrower.
@@ -97,12 +101,13 @@
 // New returns a limiter without any share.
 func New(clock clockwork.Clock, assert *asserter.Asserter) *Limiter {
 	return &Limiter{
-		clock:   clock,
-		assert:  assert,
-		short:   make(chan identifier.WorkspaceName, shortages),
-		buckets: make(map[identifier.WorkspaceName]*bucket),
-		epoch:   identifier.NoOffset,
-		lent:    make(map[lendKey]lentGrant),
+		IsCurrent: func() bool { return true },
+		clock:     clock,
+		assert:    assert,
+		short:     make(chan identifier.WorkspaceName, shortages),
+		buckets:   make(map[identifier.WorkspaceName]*bucket),
+		epoch:     identifier.NoOffset,
+		lent:      make(map[lendKey]lentGrant),
 	}
 }
 
@@ -241,7 +246,7 @@
 	b.advance(now)
 	b.addDemand(now, want)
 	w := &Waiter{workspace: workspace, tokens: want, since: now, Granted: make(chan *Reservation, 1)}
-	if len(b.waiters) == 0 && b.level+rounding >= want {
+	if len(b.waiters) == 0 && b.level+rounding >= want && l.IsCurrent() {
 		w.Granted <- l.take(b, want)
 		return w, nil
 	}
@@ -336,7 +341,7 @@
 
 // pump grants tokens to the requests at the head of the line.
 func (l *Limiter) pump(b *bucket) {
-	for len(b.waiters) > 0 && b.level+rounding >= b.waiters[0].tokens {
+	for len(b.waiters) > 0 && b.level+rounding >= b.waiters[0].tokens && l.IsCurrent() {
 		w := b.waiters[0]
 		b.waiters = b.waiters[1:]
 		b.waiting -= w.tokens
--- a/version/epocher/epocher.go
+++ b/version/epocher/epocher.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"sassafraspass.dev/sassafraspass/identifier"
 )
@@ -24,13 +25,18 @@
 	// Number is the offset of the record that began the epoch.
 	Number  identifier.Offset `json:"number"`
 	Members []Member          `json:"members"`
+	// WaitForStale says that a member was left out on the word of the
+	// platform's list alone. It may still run, and act on what it knows until
+	// that counts as stale.
+	WaitForStale bool `json:"wait-for-stale,omitempty"`
 }
 
 // Proposal is the record that begins an epoch where the one it is based on is
 // still the newest.
 type Proposal struct {
-	BasedOn identifier.Offset `json:"based-on"`
-	Members []Member          `json:"members"`
+	BasedOn      identifier.Offset `json:"based-on"`
+	Members      []Member          `json:"members"`
+	WaitForStale bool              `json:"wait-for-stale,omitempty"`
 }
 
 // Has reports whether a daemon is a member.
@@ -62,7 +68,7 @@
 	if proposal.BasedOn != current.Number {
 		return current, fmt.Errorf("based on epoch %d, the newest is %d", proposal.BasedOn, current.Number)
 	}
-	return Epoch{Number: offset, Members: proposal.Members}, nil
+	return Epoch{Number: offset, Members: proposal.Members, WaitForStale: proposal.WaitForStale}, nil
 }
 
 // Epocher holds the newest epoch that this daemon knows.
@@ -70,24 +76,23 @@
 	// Changed is told each new epoch, in order.
 	Changed func(Epoch)
 
-	mu    sync.Mutex
-	epoch Epoch
-	next  identifier.Offset
+	// current is read without the lock, as those who are told of a change may
+	// hold locks of their own.
+	current atomic.Pointer[Epoch]
+	mu      sync.Mutex
+	next    identifier.Offset
 }
 
 // New returns an epocher that knows no epoch yet.
 func New() *Epocher {
-	return &Epocher{
-		Changed: func(Epoch) {},
-		epoch:   Epoch{Number: identifier.NoOffset},
-	}
+	e := &Epocher{Changed: func(Epoch) {}}
+	e.current.Store(&Epoch{Number: identifier.NoOffset})
+	return e
 }
 
 // Current returns the newest epoch.
 func (e *Epocher) Current() Epoch {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.epoch
+	return *e.current.Load()
 }
 
 // Next returns the offset of the record to read next.
@@ -105,11 +110,11 @@
 		return nil
 	}
 	e.next = offset + 1
-	epoch, err := Fold(e.epoch, offset, data)
+	epoch, err := Fold(e.Current(), offset, data)
 	if err != nil {
 		return err
 	}
-	e.epoch = epoch
+	e.current.Store(&epoch)
 	e.Changed(epoch)
 	return nil
 }
@@ -118,10 +123,10 @@
 func (e *Epocher) Install(epoch Epoch) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if epoch.Number <= e.epoch.Number {
+	if epoch.Number <= e.Current().Number {
 		return
 	}
-	e.epoch = epoch
+	e.current.Store(&epoch)
 	e.next = max(e.next, epoch.Number+1)
 	e.Changed(epoch)
 }
