--- a/process/commander/failures_test.go
+++ b/process/commander/failures_test.go
@@ -29,9 +29,8 @@
 // to the caller to break the connection.
 type partial struct {
 	answer
-	tokens int
-	stop   func()
-	ended  chan struct{}
+	stop  func()
+	ended chan struct{}
 }
 
 // begin opens a stream and returns once some of its tokens came.
@@ -43,7 +42,7 @@
 		t.Fatal(err)
 	}
 	req.Header.Set("Authorization", "Bearer "+firstKey)
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := http.DefaultTransport.RoundTrip(req) //nolint:bodyclose // stop closes it
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/request/planner/engine.go
+++ b/request/planner/engine.go
@@ -25,6 +25,9 @@
 	ownAtReport int
 
 	sickUntil   time.Time
+	stallsInRow int
+	// probe is the one plan that an engine gets after its transfers stalled.
+	probe       *Plan
 	leaving     bool
 	unlisted    bool
 	prefillRate float64
@@ -47,7 +50,7 @@
 }
 
 func (e *engine) isUsable(now time.Time) bool {
-	return !e.leaving && !e.unlisted && !now.Before(e.sickUntil)
+	return !e.leaving && !e.unlisted && e.probe == nil && !now.Before(e.sickUntil)
 }
 
 // occupancy estimates the requests at a decode engine: this daemon's own, and
--- a/request/planner/planner.go
+++ b/request/planner/planner.go
@@ -4,7 +4,9 @@
 package planner
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"sassafraspass.dev/sassafraspass/connection/dispatcher"
@@ -37,6 +39,10 @@
 	// as long as stallMemory.
 	stallPenalty = time.Second
 	stallMemory  = 5 * time.Second
+	// stallsForSick is how many transfers in a row must stall before their
+	// prefill engine counts as ill.
+	stallsForSick    = 2
+	maxSickDoublings = 3
 )
 
 // Request is what the choice depends on.
@@ -69,8 +75,11 @@
 // use; the scheduler owns it.
 type Planner struct {
 	engines map[identifier.UpstreamName]*engine
-	links   map[linkKey]float64
-	stalls  map[linkKey]time.Time
+	// order lists the engines by name, so that equal costs are decided in the
+	// same way in every run.
+	order  []*engine
+	links  map[linkKey]float64
+	stalls map[linkKey]time.Time
 }
 
 type linkKey struct {
@@ -105,6 +114,10 @@
 		}
 	}
 	p.engines = kept
+	p.order = p.order[:0]
+	for _, name := range slices.Sorted(maps.Keys(kept)) {
+		p.order = append(p.order, kept[name])
+	}
 }
 
 // Choose returns the cheapest pair and takes its decode seat. It returns nil
@@ -137,7 +150,7 @@
 // candidates returns the engines of a role that may get the request.
 func (p *Planner) candidates(now time.Time, req Request, role parser.Role) []*engine {
 	var found []*engine
-	for _, e := range p.engines {
+	for _, e := range p.order {
 		if e.model != req.Model || e.upstream.Role != role || !e.isUsable(now) {
 			continue
 		}
@@ -165,7 +178,7 @@
 func (p *Planner) HasEngines(now time.Time, model identifier.ModelName) bool {
 	req := Request{Model: model}
 	roles := make(map[parser.Role]bool)
-	for _, e := range p.engines {
+	for _, e := range p.order {
 		if e.model == req.Model && e.isUsable(now) {
 			roles[e.upstream.Role] = true
 		}
@@ -178,7 +191,7 @@
 // not known.
 func (p *Planner) Fastest(now time.Time, req Request) time.Duration {
 	fastest := time.Duration(math.MaxInt64)
-	for _, e := range p.engines {
+	for _, e := range p.order {
 		if e.model != req.Model || e.upstream.Role != parser.RolePrefill || !e.isUsable(now) {
 			continue
 		}
@@ -221,6 +234,9 @@
 	pre := p.engines[plan.Prefill.Name]
 	pre.ownTokens += plan.Work
 	pre.ownRunning++
+	if pre.stallsInRow >= stallsForSick {
+		pre.probe = plan
+	}
 	p.engines[plan.Decode.Name].ownRunning++
 }
 
@@ -248,6 +264,11 @@
 
 // TransferDone notes how long a transfer took.
 func (p *Planner) TransferDone(plan *Plan, tokens identifier.Tokens, took time.Duration) {
+	pre, ok := p.engines[plan.Prefill.Name]
+	if ok {
+		pre.stallsInRow = 0
+		pre.probe = nil
+	}
 	if tokens < minSampleTokens || took <= 0 {
 		return
 	}
@@ -256,9 +277,21 @@
 }
 
 // TransferFailed notes that a transfer stalled, so that the pair costs more for
-// a while.
+// a while. A prefill engine whose transfers stall again and again gets no work
+// for a time that doubles, and then one request as a probe; a transfer that
+// succeeds ends that.
 func (p *Planner) TransferFailed(plan *Plan, now time.Time) {
 	p.stalls[linkKey{from: plan.Prefill.Name, to: plan.Decode.Name}] = now
+	pre, ok := p.engines[plan.Prefill.Name]
+	if !ok {
+		return
+	}
+	pre.stallsInRow++
+	if pre.stallsInRow < stallsForSick {
+		return
+	}
+	exponent := min(pre.stallsInRow-stallsForSick, maxSickDoublings)
+	pre.sickUntil = now.Add(sickFor << exponent)
 }
 
 // Release returns what is left of a plan: its decode seat, and its prefill
@@ -268,6 +301,7 @@
 		return false
 	}
 	plan.released = true
+	p.endProbe(plan)
 	p.PrefillDone(plan, 0, nil, now)
 	dec, ok := p.engines[plan.Decode.Name]
 	if ok {
@@ -276,6 +310,13 @@
 	return true
 }
 
+func (p *Planner) endProbe(plan *Plan) {
+	pre, ok := p.engines[plan.Prefill.Name]
+	if ok && pre.probe == plan {
+		pre.probe = nil
+	}
+}
+
 func (p *Planner) linkRate(key linkKey) float64 {
 	rate, ok := p.links[key]
 	if !ok {
--- a/request/queuer/queuer.go
+++ b/request/queuer/queuer.go
@@ -46,6 +46,13 @@
 	class     parser.Class
 }
 
+func (k flowKey) isBefore(other flowKey) bool {
+	if k.workspace != other.workspace {
+		return k.workspace < other.workspace
+	}
+	return k.class < other.class
+}
+
 // flow holds the requests of one workspace and class.
 type flow struct {
 	items itemHeap
@@ -133,7 +140,7 @@
 		urgency := urgencyOf(f.items, now)
 		better := bestItem == nil || urgency < bestUrgency
 		if bestItem != nil && urgency == bestUrgency {
-			better = f.finish < bestFinish || (f.finish == bestFinish && key.workspace < bestKey.workspace)
+			better = f.finish < bestFinish || (f.finish == bestFinish && key.isBefore(bestKey))
 		}
 		if better {
 			bestKey, bestItem, bestUrgency, bestFinish = key, f.items[0], urgency, f.finish
