--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
-	BENCH_POLICY=1 go test -count=1 -run '^TestPolicyReport$$' -v ./request/scheduler
+	go test -count=1 -run '^TestPolicyReport$$' -v ./request/scheduler
 
 soak:
 	SOAK_SECONDS=$(SECONDS) SOAK_SEED=$(SEED) go test -count=1 -timeout 0 -run '^TestSoak$$' -v ./process/server
--- a/connection/messenger/client.go
+++ b/connection/messenger/client.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	idlePerPeer     = 2
+	idlePerPeer     = 32
 	idleConnTimeout = 30 * time.Second
 	maxMessageBytes = 64 << 20
 )
--- a/connection/messenger/peerv1/peerv1connect/peer.connect.go
+++ b/connection/messenger/peerv1/peerv1connect/peer.connect.go
@@ -40,6 +40,12 @@
 	PeerBorrowProcedure = "/peer.v1.Peer/Borrow"
 	// PeerJournalProcedure is the fully-qualified name of the Peer's Journal RPC.
 	PeerJournalProcedure = "/peer.v1.Peer/Journal"
+	// PeerAcquireProcedure is the fully-qualified name of the Peer's Acquire RPC.
+	PeerAcquireProcedure = "/peer.v1.Peer/Acquire"
+	// PeerReseatProcedure is the fully-qualified name of the Peer's Reseat RPC.
+	PeerReseatProcedure = "/peer.v1.Peer/Reseat"
+	// PeerSettleProcedure is the fully-qualified name of the Peer's Settle RPC.
+	PeerSettleProcedure = "/peer.v1.Peer/Settle"
 	// PeerFetchConfigProcedure is the fully-qualified name of the Peer's FetchConfig RPC.
 	PeerFetchConfigProcedure = "/peer.v1.Peer/FetchConfig"
 )
@@ -53,6 +59,12 @@
 	Borrow(context.Context, *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error)
 	// Journal tells a buddy which attempts a daemon has at engines.
 	Journal(context.Context, *connect.Request[peerv1.JournalRequest]) (*connect.Response[peerv1.JournalResponse], error)
+	// Acquire waits for a pair of engines with a decode seat taken.
+	Acquire(context.Context, *connect.Request[peerv1.AcquireRequest]) (*connect.Response[peerv1.AcquireResponse], error)
+	// Reseat moves a plan whose prefill is done to another decode engine.
+	Reseat(context.Context, *connect.Request[peerv1.ReseatRequest]) (*connect.Response[peerv1.AcquireResponse], error)
+	// Settle tells what became of plans. A repeat changes nothing.
+	Settle(context.Context, *connect.Request[peerv1.SettleRequest]) (*connect.Response[peerv1.SettleResponse], error)
 	// FetchConfig returns a snapshot and the epoch that it goes with.
 	FetchConfig(context.Context, *connect.Request[peerv1.FetchConfigRequest]) (*connect.Response[peerv1.FetchConfigResponse], error)
 }
@@ -86,6 +98,24 @@
 			connect.WithSchema(peerMethods.ByName("Journal")),
 			connect.WithClientOptions(opts...),
 		),
+		acquire: connect.NewClient[peerv1.AcquireRequest, peerv1.AcquireResponse](
+			httpClient,
+			baseURL+PeerAcquireProcedure,
+			connect.WithSchema(peerMethods.ByName("Acquire")),
+			connect.WithClientOptions(opts...),
+		),
+		reseat: connect.NewClient[peerv1.ReseatRequest, peerv1.AcquireResponse](
+			httpClient,
+			baseURL+PeerReseatProcedure,
+			connect.WithSchema(peerMethods.ByName("Reseat")),
+			connect.WithClientOptions(opts...),
+		),
+		settle: connect.NewClient[peerv1.SettleRequest, peerv1.SettleResponse](
+			httpClient,
+			baseURL+PeerSettleProcedure,
+			connect.WithSchema(peerMethods.ByName("Settle")),
+			connect.WithClientOptions(opts...),
+		),
 		fetchConfig: connect.NewClient[peerv1.FetchConfigRequest, peerv1.FetchConfigResponse](
 			httpClient,
 			baseURL+PeerFetchConfigProcedure,
@@ -100,6 +130,9 @@
 	heartbeat   *connect.Client[peerv1.HeartbeatRequest, peerv1.HeartbeatResponse]
 	borrow      *connect.Client[peerv1.BorrowRequest, peerv1.BorrowResponse]
 	journal     *connect.Client[peerv1.JournalRequest, peerv1.JournalResponse]
+	acquire     *connect.Client[peerv1.AcquireRequest, peerv1.AcquireResponse]
+	reseat      *connect.Client[peerv1.ReseatRequest, peerv1.AcquireResponse]
+	settle      *connect.Client[peerv1.SettleRequest, peerv1.SettleResponse]
 	fetchConfig *connect.Client[peerv1.FetchConfigRequest, peerv1.FetchConfigResponse]
 }
 
@@ -118,6 +151,21 @@
 	return c.journal.CallUnary(ctx, req)
 }
 
+// Acquire calls peer.v1.Peer.Acquire.
+func (c *peerClient) Acquire(ctx context.Context, req *connect.Request[peerv1.AcquireRequest]) (*connect.Response[peerv1.AcquireResponse], error) {
+	return c.acquire.CallUnary(ctx, req)
+}
+
+// Reseat calls peer.v1.Peer.Reseat.
+func (c *peerClient) Reseat(ctx context.Context, req *connect.Request[peerv1.ReseatRequest]) (*connect.Response[peerv1.AcquireResponse], error) {
+	return c.reseat.CallUnary(ctx, req)
+}
+
+// Settle calls peer.v1.Peer.Settle.
+func (c *peerClient) Settle(ctx context.Context, req *connect.Request[peerv1.SettleRequest]) (*connect.Response[peerv1.SettleResponse], error) {
+	return c.settle.CallUnary(ctx, req)
+}
+
 // FetchConfig calls peer.v1.Peer.FetchConfig.
 func (c *peerClient) FetchConfig(ctx context.Context, req *connect.Request[peerv1.FetchConfigRequest]) (*connect.Response[peerv1.FetchConfigResponse], error) {
 	return c.fetchConfig.CallUnary(ctx, req)
@@ -132,6 +180,12 @@
 	Borrow(context.Context, *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error)
 	// Journal tells a buddy which attempts a daemon has at engines.
 	Journal(context.Context, *connect.Request[peerv1.JournalRequest]) (*connect.Response[peerv1.JournalResponse], error)
+	// Acquire waits for a pair of engines with a decode seat taken.
+	Acquire(context.Context, *connect.Request[peerv1.AcquireRequest]) (*connect.Response[peerv1.AcquireResponse], error)
+	// Reseat moves a plan whose prefill is done to another decode engine.
+	Reseat(context.Context, *connect.Request[peerv1.ReseatRequest]) (*connect.Response[peerv1.AcquireResponse], error)
+	// Settle tells what became of plans. A repeat changes nothing.
+	Settle(context.Context, *connect.Request[peerv1.SettleRequest]) (*connect.Response[peerv1.SettleResponse], error)
 	// FetchConfig returns a snapshot and the epoch that it goes with.
 	FetchConfig(context.Context, *connect.Request[peerv1.FetchConfigRequest]) (*connect.Response[peerv1.FetchConfigResponse], error)
 }
@@ -161,6 +215,24 @@
 		connect.WithSchema(peerMethods.ByName("Journal")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerAcquireHandler := connect.NewUnaryHandler(
+		PeerAcquireProcedure,
+		svc.Acquire,
+		connect.WithSchema(peerMethods.ByName("Acquire")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerReseatHandler := connect.NewUnaryHandler(
+		PeerReseatProcedure,
+		svc.Reseat,
+		connect.WithSchema(peerMethods.ByName("Reseat")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerSettleHandler := connect.NewUnaryHandler(
+		PeerSettleProcedure,
+		svc.Settle,
+		connect.WithSchema(peerMethods.ByName("Settle")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerFetchConfigHandler := connect.NewUnaryHandler(
 		PeerFetchConfigProcedure,
 		svc.FetchConfig,
@@ -175,6 +247,12 @@
 			peerBorrowHandler.ServeHTTP(w, r)
 		case PeerJournalProcedure:
 			peerJournalHandler.ServeHTTP(w, r)
+		case PeerAcquireProcedure:
+			peerAcquireHandler.ServeHTTP(w, r)
+		case PeerReseatProcedure:
+			peerReseatHandler.ServeHTTP(w, r)
+		case PeerSettleProcedure:
+			peerSettleHandler.ServeHTTP(w, r)
 		case PeerFetchConfigProcedure:
 			peerFetchConfigHandler.ServeHTTP(w, r)
 		default:
@@ -198,6 +276,18 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Journal is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Acquire(context.Context, *connect.Request[peerv1.AcquireRequest]) (*connect.Response[peerv1.AcquireResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Acquire is not implemented"))
+}
+
+func (UnimplementedPeerHandler) Reseat(context.Context, *connect.Request[peerv1.ReseatRequest]) (*connect.Response[peerv1.AcquireResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Reseat is not implemented"))
+}
+
+func (UnimplementedPeerHandler) Settle(context.Context, *connect.Request[peerv1.SettleRequest]) (*connect.Response[peerv1.SettleResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Settle is not implemented"))
+}
+
 func (UnimplementedPeerHandler) FetchConfig(context.Context, *connect.Request[peerv1.FetchConfigRequest]) (*connect.Response[peerv1.FetchConfigResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.FetchConfig is not implemented"))
 }
--- /dev/null
+++ b/connection/messenger/plans.go
@@ -0,0 +1,160 @@
+package messenger
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"sassafraspass.dev/sassafraspass/connection/dispatcher"
+	"sassafraspass.dev/sassafraspass/connection/messenger/peerv1"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/request/coordinator"
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+// Acquire asks a coordinator for a pair of engines.
+func (c *Client) Acquire(ctx context.Context, address identifier.Address, req coordinator.Request) (grant coordinator.Grant, refusal *refuser.Refusal, err error) {
+	defer annotate(&err, "acquire engines from %s", address)
+	resp, err := c.peer(address).Acquire(ctx, connect.NewRequest(encodeAcquire(req)))
+	if err != nil {
+		return grant, nil, err
+	}
+	grant, refusal = decodeGrant(resp.Msg)
+	return grant, refusal, nil
+}
+
+// Reseat asks a coordinator for another decode engine.
+func (c *Client) Reseat(ctx context.Context, address identifier.Address, holder identifier.Incarnation, from, to coordinator.PlanID, avoid []identifier.UpstreamName) (grant coordinator.Grant, ok bool, err error) {
+	defer annotate(&err, "reseat at %s", address)
+	resp, err := c.peer(address).Reseat(ctx, connect.NewRequest(&peerv1.ReseatRequest{
+		Incarnation: string(holder),
+		Plan:        string(from),
+		NewPlan:     string(to),
+		Avoid:       toStrings(avoid),
+	}))
+	if err != nil {
+		return grant, false, err
+	}
+	grant, refusal := decodeGrant(resp.Msg)
+	return grant, refusal == nil, nil
+}
+
+// Settle tells a coordinator what became of plans.
+func (c *Client) Settle(ctx context.Context, address identifier.Address, holder identifier.Incarnation, events []coordinator.Event) (err error) {
+	defer annotate(&err, "settle plans at %s", address)
+	msg := &peerv1.SettleRequest{Incarnation: string(holder)}
+	for _, event := range events {
+		msg.Events = append(msg.Events, &peerv1.PlanEvent{
+			Plan:   string(event.Plan),
+			Kind:   string(event.Kind),
+			TookUs: event.Took.Microseconds(),
+		})
+	}
+	_, err = c.peer(address).Settle(ctx, connect.NewRequest(msg))
+	return err
+}
+
+// Acquire answers peer.v1.Peer.Acquire.
+func (r *rpc) Acquire(ctx context.Context, req *connect.Request[peerv1.AcquireRequest]) (*connect.Response[peerv1.AcquireResponse], error) {
+	grant, refusal := r.server.Coordinator.Acquire(ctx, decodeAcquire(req.Msg))
+	return connect.NewResponse(encodeGrant(grant, refusal)), nil
+}
+
+// Reseat answers peer.v1.Peer.Reseat.
+func (r *rpc) Reseat(_ context.Context, req *connect.Request[peerv1.ReseatRequest]) (*connect.Response[peerv1.AcquireResponse], error) {
+	grant, ok := r.server.Coordinator.Reseat(
+		identifier.Incarnation(req.Msg.GetIncarnation()),
+		coordinator.PlanID(req.Msg.GetPlan()),
+		coordinator.PlanID(req.Msg.GetNewPlan()),
+		fromStrings[identifier.UpstreamName](req.Msg.GetAvoid()))
+	if !ok {
+		return connect.NewResponse(&peerv1.AcquireResponse{RefusalCode: string(refuser.NoUpstream)}), nil
+	}
+	return connect.NewResponse(encodeGrant(grant, nil)), nil
+}
+
+// Settle answers peer.v1.Peer.Settle.
+func (r *rpc) Settle(_ context.Context, req *connect.Request[peerv1.SettleRequest]) (*connect.Response[peerv1.SettleResponse], error) {
+	var events []coordinator.Event
+	for _, event := range req.Msg.GetEvents() {
+		events = append(events, coordinator.Event{
+			Plan: coordinator.PlanID(event.GetPlan()),
+			Kind: coordinator.EventKind(event.GetKind()),
+			Took: time.Duration(event.GetTookUs()) * time.Microsecond,
+		})
+	}
+	r.server.Coordinator.Settle(identifier.Incarnation(req.Msg.GetIncarnation()), events)
+	return connect.NewResponse(&peerv1.SettleResponse{}), nil
+}
+
+func encodeAcquire(req coordinator.Request) *peerv1.AcquireRequest {
+	msg := &peerv1.AcquireRequest{
+		Incarnation:  string(req.Holder),
+		Plan:         string(req.Plan),
+		Model:        string(req.Model),
+		Workspace:    string(req.Workspace),
+		Class:        string(req.Class),
+		CostTokens:   int64(req.Cost),
+		Weight:       int64(req.Weight),
+		WaitedMs:     req.Waited.Milliseconds(),
+		PatienceMs:   req.Patience.Milliseconds(),
+		PromptTokens: int64(req.Prompt),
+		Avoid:        toStrings(req.Avoid),
+	}
+	for _, block := range req.Blocks {
+		msg.Blocks = append(msg.Blocks, uint64(block))
+	}
+	return msg
+}
+
+func decodeAcquire(msg *peerv1.AcquireRequest) coordinator.Request {
+	req := coordinator.Request{
+		Holder:    identifier.Incarnation(msg.GetIncarnation()),
+		Plan:      coordinator.PlanID(msg.GetPlan()),
+		Model:     identifier.ModelName(msg.GetModel()),
+		Workspace: identifier.WorkspaceName(msg.GetWorkspace()),
+		Class:     parser.Class(msg.GetClass()),
+		Cost:      identifier.Tokens(msg.GetCostTokens()),
+		Weight:    identifier.Tokens(msg.GetWeight()),
+		Waited:    time.Duration(msg.GetWaitedMs()) * time.Millisecond,
+		Patience:  time.Duration(msg.GetPatienceMs()) * time.Millisecond,
+		Prompt:    identifier.Tokens(msg.GetPromptTokens()),
+		Avoid:     fromStrings[identifier.UpstreamName](msg.GetAvoid()),
+	}
+	for _, block := range msg.GetBlocks() {
+		req.Blocks = append(req.Blocks, dispatcher.BlockHash(block))
+	}
+	return req
+}
+
+func encodeGrant(grant coordinator.Grant, refusal *refuser.Refusal) *peerv1.AcquireResponse {
+	if refusal != nil {
+		return &peerv1.AcquireResponse{
+			RefusalCode:         string(refusal.Code),
+			RefusalStatus:       int32(refusal.Status),
+			RefusalMessage:      refusal.Message,
+			RefusalRetryAfterMs: refusal.RetryAfter.Milliseconds(),
+		}
+	}
+	return &peerv1.AcquireResponse{
+		Prefill:         string(grant.Prefill),
+		Decode:          string(grant.Decode),
+		WorkTokens:      int64(grant.Work),
+		TransferBoundUs: grant.TransferBound.Microseconds(),
+	}
+}
+
+func decodeGrant(msg *peerv1.AcquireResponse) (coordinator.Grant, *refuser.Refusal) {
+	if msg.GetRefusalCode() != "" {
+		refusal := refuser.New(int(msg.GetRefusalStatus()), refuser.Code(msg.GetRefusalCode()), "%s", msg.GetRefusalMessage())
+		return coordinator.Grant{}, refusal.After(time.Duration(msg.GetRefusalRetryAfterMs()) * time.Millisecond)
+	}
+	return coordinator.Grant{
+		Prefill:       identifier.UpstreamName(msg.GetPrefill()),
+		Decode:        identifier.UpstreamName(msg.GetDecode()),
+		Work:          identifier.Tokens(msg.GetWorkTokens()),
+		TransferBound: time.Duration(msg.GetTransferBoundUs()) * time.Microsecond,
+	}, nil
+}
--- a/connection/messenger/server.go
+++ b/connection/messenger/server.go
@@ -11,6 +11,7 @@
 	"sassafraspass.dev/sassafraspass/connection/messenger/peerv1/peerv1connect"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/request/coordinator"
 	"sassafraspass.dev/sassafraspass/request/limiter"
 	"sassafraspass.dev/sassafraspass/version/folder"
 )
@@ -23,6 +24,8 @@
 	Lend func(req limiter.BorrowRequest) limiter.BorrowResponse
 	// Journalled takes what a peer tells its buddy.
 	Journalled func(journal Journal)
+	// Coordinator gives out engines.
+	Coordinator *coordinator.Coordinator
 	// Config returns what this daemon knows above a version.
 	Config func(above identifier.Offset) Config
 }
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -29,6 +29,7 @@
 	RetryCancel       RetryReason = "cancel-unconfirmed"
 	RetryBorrow       RetryReason = "borrow-unconfirmed"
 	RetryLogRead      RetryReason = "log-read-failed"
+	RetryCoordinator  RetryReason = "coordinator-unreached"
 	RetryBudgetIsGone RetryReason = "retry-budget-spent"
 )
 
@@ -58,7 +59,8 @@
 
 var retryReasons = []RetryReason{
 	RetryConnect, RetryStatus, RetryPrefill, RetryTransfer, RetryDecode,
-	RetryAppend, RetryCancel, RetryBorrow, RetryLogRead, RetryBudgetIsGone,
+	RetryAppend, RetryCancel, RetryBorrow, RetryLogRead, RetryCoordinator,
+	RetryBudgetIsGone,
 }
 
 var events = []Event{
--- a/process/server/peers.go
+++ b/process/server/peers.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/connection/messenger"
 	"sassafraspass.dev/sassafraspass/identifier"
@@ -30,9 +32,10 @@
 			s.learn(beat)
 			return s.beat()
 		},
-		Lend:       s.limiter.Lend,
-		Journalled: s.guardian.Journalled,
-		Config:     s.fetcher.Config,
+		Lend:        s.limiter.Lend,
+		Journalled:  s.guardian.Journalled,
+		Coordinator: s.coordinator,
+		Config:      s.fetcher.Config,
 	}
 	mux := http.NewServeMux()
 	mux.Handle(server.Handler())
@@ -58,11 +61,9 @@
 	for _, member := range s.members.Live() {
 		b.Heard = append(b.Heard, member.Incarnation)
 	}
-	s.scheduler.Look(func(p *planner.Planner, _ time.Time) {
-		for _, load := range p.OwnLoads() {
-			b.Loads = append(b.Loads, heartbeater.EngineLoad{Upstream: load.Upstream, Running: load.Running, Tokens: load.Tokens})
-		}
-	})
+	for name, load := range s.seater.Loads() {
+		b.Loads = append(b.Loads, heartbeater.EngineLoad{Upstream: name, Running: load.Running, Tokens: load.Tokens})
+	}
 	return b
 }
 
@@ -92,11 +93,11 @@
 func (s *Server) learn(beat heartbeater.Beat) {
 	s.fetcher.Heard(beat)
 	s.guardian.Resumed(beat.Resumed)
-	loads := make(map[identifier.UpstreamName]planner.PeerLoad)
+	loads := make(map[identifier.UpstreamName]planner.Load)
 	for _, load := range beat.Loads {
-		loads[load.Upstream] = planner.PeerLoad{Running: load.Running, Tokens: load.Tokens}
+		loads[load.Upstream] = planner.Load{Running: load.Running, Tokens: load.Tokens}
 	}
-	s.scheduler.Update(func(p *planner.Planner, _ time.Time) { p.PeerReported(beat.Incarnation, loads) })
+	s.scheduler.Update(func(p *planner.Planner, _ time.Time) { p.Claimed(beat.Incarnation, loads) })
 }
 
 // watchMembers passes changes of the members on, until the context ends.
@@ -112,8 +113,11 @@
 		live := s.liveIncarnations()
 		leaving := leavingVMs(s.members.VMs())
 		s.picker.Listed(leaving)
+		s.coordinator.KeepHolders(func(holder identifier.Incarnation) bool {
+			return holder == s.self.Incarnation || s.isLive(holder)
+		})
 		s.scheduler.Update(func(p *planner.Planner, _ time.Time) {
-			p.KeepPeers(live)
+			p.KeepClaims(live)
 			p.Listed(leaving)
 		})
 	}
@@ -174,6 +178,26 @@
 	return epocher.Member{Incarnation: member.Incarnation, VM: member.VM, Peer: member.Peer}, true
 }
 
+// coordinatorOf returns the address of the daemon that coordinates a model,
+// empty for this one: the first by hash of the live ones that serve.
+func (s *Server) coordinatorOf(model identifier.ModelName) identifier.Address {
+	best, address := uint64(0), identifier.Address("")
+	if s.state() == heartbeater.StateServing {
+		best = coordinatorWeight(model, s.self.Incarnation)
+	}
+	for _, member := range s.members.Live() {
+		weight := coordinatorWeight(model, member.Incarnation)
+		if member.State == heartbeater.StateServing && weight > best {
+			best, address = weight, member.Peer
+		}
+	}
+	return address
+}
+
+func coordinatorWeight(model identifier.ModelName, incarnation identifier.Incarnation) uint64 {
+	return xxhash.Sum64String(string(model) + "/" + string(incarnation))
+}
+
 // lenders returns the live members of the epoch but this daemon.
 func (s *Server) lenders() []heartbeater.Member {
 	epoch := s.epocher.Current()
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -1,8 +1,10 @@
 // Package server wires the parts of a daemon together.
 //
-//	callers ──> listener ──> admitter ──> limiter ──> scheduler ──> streamer ──> engines
-//	               │            (key)      (tokens)    (pair of        │
-//	               │                                    engines)       └─> journaler ──> buddies
+//	callers ──> listener ──> admitter ──> limiter ──> streamer ──────────> engines
+//	               │            (key)      (tokens)     │   │
+//	               │                                    │   └─> journaler ──> buddies
+//	               │                                  seater ──> coordinator of the model
+//	               │                                (pair of engines; here or at a peer)
 //	               └──> forwarder ──> recorder ──> plain services
 //	                                     │
 //	log ──> tailers ──> follower (version), epocher (epoch), ledger (once)
@@ -43,15 +45,18 @@
 	"sassafraspass.dev/sassafraspass/process/poller"
 	"sassafraspass.dev/sassafraspass/request/admitter"
 	"sassafraspass.dev/sassafraspass/request/canceller"
+	"sassafraspass.dev/sassafraspass/request/coordinator"
 	"sassafraspass.dev/sassafraspass/request/forwarder"
 	"sassafraspass.dev/sassafraspass/request/limiter"
 	"sassafraspass.dev/sassafraspass/request/picker"
 	"sassafraspass.dev/sassafraspass/request/planner"
 	"sassafraspass.dev/sassafraspass/request/recorder"
 	"sassafraspass.dev/sassafraspass/request/scheduler"
+	"sassafraspass.dev/sassafraspass/request/seater"
 	"sassafraspass.dev/sassafraspass/request/streamer"
 	"sassafraspass.dev/sassafraspass/version/epocher"
 	"sassafraspass.dev/sassafraspass/version/follower"
+	"sassafraspass.dev/sassafraspass/version/parser"
 	"sassafraspass.dev/sassafraspass/version/snapshotter"
 )
 
@@ -75,32 +80,34 @@
 	operators net.Listener
 	metrics   http.Handler
 
-	logClient  *appender.Client
-	messages   *messenger.Client
-	follower   *follower.Follower
-	epocher    *epocher.Epocher
-	confirmer  *confirmer.Confirmer
-	members    *heartbeater.Members
-	heartbeat  *heartbeater.Heartbeater
-	fetcher    *fetcher.Fetcher
-	allotter   *allotter.Allotter
-	limiter    *limiter.Limiter
-	borrower   *borrower.Borrower
-	admitter   *admitter.Admitter
-	scheduler  *scheduler.Scheduler
-	poller     *poller.Poller
-	picker     *picker.Picker
-	ledger     *recorder.Ledger
-	writer     *recorder.Writer
-	recorder   *recorder.Recorder
-	canceller  *canceller.Canceller
-	journaler  *journaler.Journaler
-	guardian   *journaler.Guardian
-	snapshot   *snapshotter.Snapshotter
-	listener   *listener.Listener
-	streamer   *streamer.Streamer
-	forwarder  *forwarder.Forwarder
-	callServer *http.Server
+	logClient   *appender.Client
+	messages    *messenger.Client
+	follower    *follower.Follower
+	epocher     *epocher.Epocher
+	confirmer   *confirmer.Confirmer
+	members     *heartbeater.Members
+	heartbeat   *heartbeater.Heartbeater
+	fetcher     *fetcher.Fetcher
+	allotter    *allotter.Allotter
+	limiter     *limiter.Limiter
+	borrower    *borrower.Borrower
+	admitter    *admitter.Admitter
+	scheduler   *scheduler.Scheduler
+	coordinator *coordinator.Coordinator
+	seater      *seater.Seater
+	poller      *poller.Poller
+	picker      *picker.Picker
+	ledger      *recorder.Ledger
+	writer      *recorder.Writer
+	recorder    *recorder.Recorder
+	canceller   *canceller.Canceller
+	journaler   *journaler.Journaler
+	guardian    *journaler.Guardian
+	snapshot    *snapshotter.Snapshotter
+	listener    *listener.Listener
+	streamer    *streamer.Streamer
+	forwarder   *forwarder.Forwarder
+	callServer  *http.Server
 
 	versionRead atomic.Bool
 	ready       atomic.Bool
@@ -281,6 +288,20 @@
 
 func (s *Server) wireEngines(log *slog.Logger, engines *dispatcher.Engines) {
 	s.scheduler = scheduler.New(s.clock, s.assert, planner.New())
+	s.coordinator = coordinator.New(s.clock, s.scheduler)
+	s.seater = seater.New()
+	s.seater.Self = s.self.Incarnation
+	s.seater.Local = s.coordinator
+	s.seater.Target = s.coordinatorOf
+	s.seater.Acquire = s.messages.Acquire
+	s.seater.Reseat = s.messages.Reseat
+	s.seater.Settle = s.messages.Settle
+	s.seater.Upstream = func(name identifier.UpstreamName) (parser.Upstream, bool) {
+		return s.follower.Version().Upstream(name)
+	}
+	s.seater.Clock = s.clock
+	s.seater.Log = logger.For(log, logger.Upstream)
+	s.seater.Meter = s.meter
 	s.poller = &poller.Poller{
 		Version:   s.follower.Version,
 		Engines:   engines,
@@ -302,16 +323,16 @@
 	s.canceller.Meter = s.meter
 	s.guardian.Cancel = s.canceller.Cancel
 	s.streamer = &streamer.Streamer{
-		Scheduler: s.scheduler,
-		Engines:   engines,
-		Begin:     s.journaler.Begin,
-		End:       s.journaler.End,
-		Cancel:    s.canceller.Cancel,
-		Budget:    streamer.NewBudget(),
-		Clock:     s.clock,
-		Log:       logger.For(log, logger.Upstream),
-		Meter:     s.meter,
-		Assert:    s.assert,
+		Seater:  s.seater,
+		Engines: engines,
+		Begin:   s.journaler.Begin,
+		End:     s.journaler.End,
+		Cancel:  s.canceller.Cancel,
+		Budget:  streamer.NewBudget(),
+		Clock:   s.clock,
+		Log:     logger.For(log, logger.Upstream),
+		Meter:   s.meter,
+		Assert:  s.assert,
 	}
 }
 
@@ -420,6 +441,7 @@
 		s.borrower.Run,
 		s.admitter.Run,
 		s.scheduler.Run,
+		s.seater.Run,
 		s.poller.Run,
 		s.writer.Run,
 		s.recorder.RunExpiry,
--- a/request/planner/engine.go
+++ b/request/planner/engine.go
@@ -14,15 +14,14 @@
 	upstream parser.Upstream
 	model    identifier.ModelName
 
-	// ownRunning and ownTokens are this daemon's own work there.
-	ownRunning int
-	ownTokens  identifier.Tokens
-	// peers is what other daemons said they have there.
-	peers map[identifier.Incarnation]PeerLoad
+	// granted is what was planned here, by the daemon that holds the plan.
+	granted map[identifier.Incarnation]Load
+	// claimed is what daemons say that they have there, planned here or not.
+	claimed map[identifier.Incarnation]Load
 
-	report      dispatcher.Load
-	reportedAt  time.Time
-	ownAtReport int
+	report          dispatcher.Load
+	reportedAt      time.Time
+	grantedAtReport int
 
 	sickUntil   time.Time
 	stallsInRow int
@@ -35,15 +34,17 @@
 	cache       *cacheEstimate
 }
 
-// PeerLoad is what one daemon has running at one engine.
-type PeerLoad struct {
+// Load is what one daemon has running at one engine.
+type Load struct {
 	Running int
-	Tokens  identifier.Tokens
+	// Tokens is the prefill work that is not done.
+	Tokens identifier.Tokens
 }
 
 func newEngine() *engine {
 	return &engine{
-		peers:       make(map[identifier.Incarnation]PeerLoad),
+		granted:     make(map[identifier.Incarnation]Load),
+		claimed:     make(map[identifier.Incarnation]Load),
 		prefillRate: defaultPrefillRate,
 		cache:       newCacheEstimate(),
 	}
@@ -53,26 +54,59 @@
 	return !e.leaving && !e.unlisted && e.probe == nil && !now.Before(e.sickUntil)
 }
 
-// occupancy estimates the requests at a decode engine: this daemon's own, and
-// of the others the larger of what they said and what the report implies.
+// occupancy estimates the requests at a decode engine: for each daemon the
+// larger of what was planned here and what it claims, or what the engine's
+// report implies where that is more.
 func (e *engine) occupancy(now time.Time) int {
-	others := 0
-	for _, load := range e.peers {
-		others += load.Running
+	known := e.total().Running
+	if now.Sub(e.reportedAt) > reportFresh {
+		return known
 	}
-	if now.Sub(e.reportedAt) <= reportFresh {
-		others = max(others, e.report.Running+e.report.Waiting-e.ownAtReport)
+	sinceReport := e.grantedRunning() - e.grantedAtReport
+	return max(known, e.report.Running+e.report.Waiting+sinceReport)
+}
+
+// total adds up what the daemons have at the engine.
+func (e *engine) total() Load {
+	var sum Load
+	for holder, granted := range e.granted {
+		claimed := e.claimed[holder]
+		sum.Running += max(granted.Running, claimed.Running)
+		sum.Tokens += max(granted.Tokens, claimed.Tokens)
+	}
+	for holder, claimed := range e.claimed {
+		_, counted := e.granted[holder]
+		if !counted {
+			sum.Running += claimed.Running
+			sum.Tokens += claimed.Tokens
+		}
+	}
+	return sum
+}
+
+func (e *engine) grantedRunning() int {
+	sum := 0
+	for _, granted := range e.granted {
+		sum += granted.Running
 	}
-	return e.ownRunning + others
+	return sum
+}
+
+// grant changes what was planned for a holder.
+func (e *engine) grant(holder identifier.Incarnation, running int, tokens identifier.Tokens) {
+	load := e.granted[holder]
+	load.Running += running
+	load.Tokens += tokens
+	if load == (Load{}) {
+		delete(e.granted, holder)
+		return
+	}
+	e.granted[holder] = load
 }
 
 // backlog estimates how long a prefill engine is busy with what it has.
 func (e *engine) backlog() time.Duration {
-	tokens := e.ownTokens
-	for _, load := range e.peers {
-		tokens += load.Tokens
-	}
-	return duration(float64(tokens) / e.prefillRate)
+	return duration(float64(e.total().Tokens) / e.prefillRate)
 }
 
 // learnRate takes a sample of the prefill rate. The first one replaces the
@@ -99,7 +133,7 @@
 	}
 	e.report = load
 	e.reportedAt = now
-	e.ownAtReport = e.ownRunning
+	e.grantedAtReport = e.grantedRunning()
 	e.leaving = load.Leaving
 }
 
@@ -119,47 +153,29 @@
 	}
 }
 
-// PeerReported takes what another daemon has running.
-func (p *Planner) PeerReported(peer identifier.Incarnation, loads map[identifier.UpstreamName]PeerLoad) {
+// Claimed takes what a daemon says that it has running.
+func (p *Planner) Claimed(holder identifier.Incarnation, loads map[identifier.UpstreamName]Load) {
 	for name, e := range p.engines {
 		load, ok := loads[name]
 		if ok {
-			e.peers[peer] = load
+			e.claimed[holder] = load
 		} else {
-			delete(e.peers, peer)
+			delete(e.claimed, holder)
 		}
 	}
 }
 
-// KeepPeers drops the loads of daemons that are not live.
-func (p *Planner) KeepPeers(live []identifier.Incarnation) {
+// KeepClaims drops the claims of daemons that are not live.
+func (p *Planner) KeepClaims(live []identifier.Incarnation) {
 	for _, e := range p.engines {
-		for peer := range e.peers {
-			if !slices.Contains(live, peer) {
-				delete(e.peers, peer)
+		for holder := range e.claimed {
+			if !slices.Contains(live, holder) {
+				delete(e.claimed, holder)
 			}
 		}
 	}
 }
 
-// OwnLoad is this daemon's own work at an engine.
-type OwnLoad struct {
-	Upstream identifier.UpstreamName
-	Running  int
-	Tokens   identifier.Tokens
-}
-
-// OwnLoads returns this daemon's own work at each engine that has some.
-func (p *Planner) OwnLoads() []OwnLoad {
-	var loads []OwnLoad
-	for name, e := range p.engines {
-		if e.ownRunning > 0 {
-			loads = append(loads, OwnLoad{Upstream: name, Running: e.ownRunning, Tokens: e.ownTokens})
-		}
-	}
-	return loads
-}
-
 // CacheChanged takes cache events of an engine.
 func (p *Planner) CacheChanged(name identifier.UpstreamName, events []dispatcher.CacheEvent, now time.Time) {
 	e, ok := p.engines[name]
--- a/request/planner/planner.go
+++ b/request/planner/planner.go
@@ -52,6 +52,8 @@
 	Blocks []dispatcher.BlockHash
 	// Deadline is when the first token is due.
 	Deadline time.Time
+	// Holder is the daemon that the plan is for.
+	Holder identifier.Incarnation
 	// Avoid names engines that failed this request before.
 	Avoid []identifier.UpstreamName
 }
@@ -67,6 +69,7 @@
 	// TransferBound is when a transfer counts as stalled.
 	TransferBound time.Duration
 
+	holder      identifier.Incarnation
 	prefillDone bool
 	released    bool
 }
@@ -135,7 +138,7 @@
 		for _, dec := range decodes {
 			cost := work + p.transferTime(now, pre, dec, req.Tokens) + dec.seatCost(now)
 			if best == nil || cost < best.Expected {
-				best = &Plan{Prefill: pre.upstream, Decode: dec.upstream, Expected: cost, Work: uncached}
+				best = &Plan{Prefill: pre.upstream, Decode: dec.upstream, Expected: cost, Work: uncached, holder: req.Holder}
 			}
 		}
 	}
@@ -223,21 +226,20 @@
 	if best == nil {
 		return nil
 	}
-	best.ownRunning++
+	best.grant(plan.holder, 1, 0)
 	p.Release(plan, now)
-	moved := &Plan{Prefill: pre.upstream, Decode: best.upstream, prefillDone: true}
+	moved := &Plan{Prefill: pre.upstream, Decode: best.upstream, holder: plan.holder, prefillDone: true}
 	moved.TransferBound = p.transferBound(moved, req.Tokens)
 	return moved
 }
 
 func (p *Planner) take(plan *Plan) {
 	pre := p.engines[plan.Prefill.Name]
-	pre.ownTokens += plan.Work
-	pre.ownRunning++
+	pre.grant(plan.holder, 1, plan.Work)
 	if pre.stallsInRow >= stallsForSick {
 		pre.probe = plan
 	}
-	p.engines[plan.Decode.Name].ownRunning++
+	p.engines[plan.Decode.Name].grant(plan.holder, 1, 0)
 }
 
 // PrefillDone returns the prefill engine's part of a plan. A took of zero
@@ -251,13 +253,12 @@
 	if !ok {
 		return
 	}
-	pre.ownTokens -= plan.Work
-	pre.ownRunning--
+	pre.grant(plan.holder, -1, -plan.Work)
 	if took <= 0 {
 		return
 	}
 	pre.cache.stored(blocks, now)
-	if plan.Work >= minSampleTokens && pre.ownRunning == 0 {
+	if plan.Work >= minSampleTokens && pre.grantedRunning() == 0 {
 		pre.learnRate(float64(plan.Work) / took.Seconds())
 	}
 }
@@ -305,7 +306,7 @@
 	p.PrefillDone(plan, 0, nil, now)
 	dec, ok := p.engines[plan.Decode.Name]
 	if ok {
-		dec.ownRunning--
+		dec.grant(plan.holder, -1, 0)
 	}
 	return true
 }
--- a/request/scheduler/policy_test.go
+++ b/request/scheduler/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"os"
@@ -33,7 +34,6 @@
 	tokenGapBound   = 61 * time.Millisecond
 	gapShare        = 0.95
 	siteSeeds       = 5
-	ciSiteSeeds     = 1
 	model           = identifier.ModelName("m")
 )
 
@@ -135,6 +135,19 @@
 	reported map[identifier.UpstreamName]float64
 	sent     map[identifier.UpstreamName]float64
 	nextSeen map[identifier.UpstreamName]int
+	// held is what this daemon's plans hold at each engine.
+	held map[identifier.UpstreamName]planner.Load
+}
+
+// hold changes what a daemon's plans hold.
+func (d *fakeDaemon) hold(name identifier.UpstreamName, running int, tokens identifier.Tokens) {
+	load := d.held[name]
+	d.held[name] = planner.Load{Running: load.Running + running, Tokens: load.Tokens + tokens}
+}
+
+// claims returns what a daemon says that it holds.
+func (d *fakeDaemon) claims() map[identifier.UpstreamName]planner.Load {
+	return maps.Clone(d.held)
 }
 
 // site is one run of one policy under one condition.
@@ -180,6 +193,7 @@
 			reported:  make(map[identifier.UpstreamName]float64),
 			sent:      make(map[identifier.UpstreamName]float64),
 			nextSeen:  make(map[identifier.UpstreamName]int),
+			held:      make(map[identifier.UpstreamName]planner.Load),
 		}
 		d.update(func(p *planner.Planner, _ time.Time) {
 			p.Configure(map[identifier.ServiceName]parser.Service{"m": service})
@@ -291,17 +305,12 @@
 // beat tells the other daemons what one has running.
 func (s *site) beat(i int) {
 	const interval = 250 * time.Millisecond
-	loads := make(map[identifier.UpstreamName]planner.PeerLoad)
-	s.daemons[i].scheduler.Look(func(p *planner.Planner, _ time.Time) {
-		for _, load := range p.OwnLoads() {
-			loads[load.Upstream] = planner.PeerLoad{Running: load.Running, Tokens: load.Tokens}
-		}
-	})
+	loads := s.daemons[i].claims()
 	name := identifier.Incarnation(fmt.Sprint(i))
 	s.after(2*time.Millisecond, func() {
 		for k, d := range s.daemons {
 			if k != i {
-				d.update(func(p *planner.Planner, _ time.Time) { p.PeerReported(name, loads) })
+				d.update(func(p *planner.Planner, _ time.Time) { p.Claimed(name, loads) })
 			}
 		}
 	})
@@ -313,6 +322,7 @@
 	plan, began := j.plan, s.clock.Now()
 	pre.compute(j.tokens+identifier.Tokens(j.produced), j.blocks, func() {
 		if plan != nil {
+			j.daemon.hold(pre.name, -1, -plan.Work)
 			j.daemon.update(func(p *planner.Planner, now time.Time) { p.PrefillDone(plan, now.Sub(began), j.blocks, now) })
 		}
 		if dec == nil {
@@ -349,12 +359,16 @@
 		moved := j.daemon.scheduler.Reseat(plan, j.planRequest())
 		if moved == nil || !s.clock.Now().Before(expires) || pre.stalled {
 			if moved != nil {
+				j.daemon.hold(plan.Decode.Name, -1, 0)
+				j.daemon.hold(moved.Decode.Name, 1, 0)
 				j.plan, plan = moved, moved
 			}
 			fail()
 			return
 		}
 		settled = true
+		j.daemon.hold(plan.Decode.Name, -1, 0)
+		j.daemon.hold(moved.Decode.Name, 1, 0)
 		j.plan = moved
 		s.transfer(j, pre, s.decodeOf(moved.Decode.Name), expires)
 	})
@@ -381,6 +395,7 @@
 
 func (s *site) release(j *job, plan *planner.Plan) {
 	if plan != nil {
+		j.daemon.hold(plan.Decode.Name, -1, 0)
 		j.daemon.update(func(p *planner.Planner, now time.Time) { p.Release(plan, now) })
 	}
 }
@@ -454,11 +469,11 @@
 	refused float64
 }
 
-func measure(r row, p policy, seeds int) score {
+func measure(r row, p policy) score {
 	good := make(map[identifier.WorkspaceName]float64)
 	all := make(map[identifier.WorkspaceName]float64)
 	var prefills, wasted, refused, total, served float64
-	for seed := range uint64(seeds) {
+	for seed := range uint64(siteSeeds) {
 		s := newSite(seed+1, r, p)
 		for _, j := range s.run() {
 			all[j.client.name]++
@@ -489,14 +504,10 @@
 	return result
 }
 
-// TestPolicyReport compares the policy with baselines on the same fakes. With
-// BENCH_POLICY set it runs more seeds and prints all rows.
+// TestPolicyReport compares the policy with baselines on the same fakes, and
+// with daemons that each plan alone. BENCH_ONLY picks one policy, BENCH_EACH
+// prints each workspace.
 func TestPolicyReport(t *testing.T) {
-	seeds := ciSiteSeeds
-	report := os.Getenv("BENCH_POLICY") != ""
-	if report {
-		seeds = siteSeeds
-	}
 	lines := []string{fmt.Sprintf("%-21s %-20s %8s %8s %8s %8s %8s", "", "", "goodput", "wasted", "worst", "mean", "refused")}
 	for _, r := range rows {
 		var own score
@@ -504,7 +515,7 @@
 			if only := os.Getenv("BENCH_ONLY"); only != "" && only != p.name {
 				continue
 			}
-			got := measure(r, p, seeds)
+			got := measure(r, p)
 			lines = append(lines, fmt.Sprintf("%-21s %-20s %7.2f%% %7.2f%% %7.2f%% %7.2f%% %7.2f%%", r.name, p.name,
 				100*got.goodput, 100*got.wasted, 100*got.worst, 100*got.mean, 100*got.refused))
 			if i == 0 {
--- /dev/null
+++ b/request/seater/seater_test.go
@@ -0,0 +1,157 @@
+package seater
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/asserter"
+	"sassafraspass.dev/sassafraspass/process/logger"
+	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/request/coordinator"
+	"sassafraspass.dev/sassafraspass/request/planner"
+	"sassafraspass.dev/sassafraspass/request/scheduler"
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+const peer identifier.Address = "peer"
+
+var errUnreached = errors.New("unreached")
+
+var engines = []parser.Upstream{
+	{Name: "p", Role: parser.RolePrefill},
+	{Name: "d", Role: parser.RoleDecode, Seats: 1},
+}
+
+func newCoordinator(clock clockwork.Clock) *coordinator.Coordinator {
+	m := meter.NewDetached()
+	s := scheduler.New(clock, asserter.New(logger.Discard(), m, true), planner.New())
+	s.Update(func(p *planner.Planner, _ time.Time) {
+		p.Configure(map[identifier.ServiceName]parser.Service{"s": {Kind: parser.KindModel, Model: "m", Upstreams: engines}})
+	})
+	return coordinator.New(clock, s)
+}
+
+// newSeater returns a seater of a daemon whose model is coordinated by a peer.
+func newSeater(clock clockwork.Clock, remote *coordinator.Coordinator) *Seater {
+	s := New()
+	s.Self = "self"
+	s.Local = newCoordinator(clock)
+	s.Target = func(identifier.ModelName) identifier.Address { return peer }
+	s.Acquire = func(ctx context.Context, _ identifier.Address, req coordinator.Request) (coordinator.Grant, *refuser.Refusal, error) {
+		grant, refusal := remote.Acquire(ctx, req)
+		return grant, refusal, nil
+	}
+	s.Settle = func(_ context.Context, _ identifier.Address, holder identifier.Incarnation, events []coordinator.Event) error {
+		remote.Settle(holder, events)
+		return nil
+	}
+	s.Upstream = func(name identifier.UpstreamName) (parser.Upstream, bool) {
+		for _, e := range engines {
+			if e.Name == name {
+				return e, true
+			}
+		}
+		return parser.Upstream{}, false
+	}
+	s.Clock = clock
+	s.Log = logger.Discard()
+	s.Meter = meter.NewDetached()
+	return s
+}
+
+func request(patience time.Duration) coordinator.Request {
+	return coordinator.Request{Model: "m", Workspace: "w", Class: parser.ClassInteractive, Patience: patience, Prompt: 10}
+}
+
+// settled delivers what waits in the seater's ring.
+func settled(s *Seater) {
+	for len(s.settlements) > 0 {
+		next := <-s.settlements
+		_ = s.Settle(context.Background(), next.target, s.Self, []coordinator.Event{next.event})
+	}
+}
+
+func TestSeatOfACoordinatorIsTakenAndGivenBack(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewRealClock()
+	remote := newCoordinator(clock)
+	s := newSeater(clock, remote)
+	seat, refusal := s.Take(t.Context(), request(time.Second))
+	is.True(refusal == nil)
+	is.Equal(seat.Decode.Name, identifier.UpstreamName("d"))
+	is.Equal(remote.Held(), 1)
+	is.Equal(s.Loads()["d"].Running, 1)
+	_, refusal = s.Take(t.Context(), request(20*time.Millisecond))
+	is.Equal(refusal.Code, refuser.DeadlineExceeded) // the one seat is taken
+	is.True(refusal.NotRun)
+	seat.PrefillDone(time.Millisecond)
+	seat.Release()
+	settled(s)
+	is.Equal(remote.Held(), 0)
+	is.Equal(len(s.Loads()), 0)
+}
+
+func TestDaemonPlansAloneWhileItsCoordinatorIsGone(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewRealClock()
+	remote := newCoordinator(clock)
+	s := newSeater(clock, remote)
+	s.Acquire = func(context.Context, identifier.Address, coordinator.Request) (coordinator.Grant, *refuser.Refusal, error) {
+		return coordinator.Grant{}, nil, errUnreached
+	}
+	seat, refusal := s.Take(t.Context(), request(time.Second))
+	is.True(refusal == nil)
+	is.Equal(s.Local.Held(), 1)
+	seat.PrefillDone(time.Millisecond)
+	seat.Release()
+	is.Equal(s.Local.Held(), 0)
+}
+
+func TestLostAnswerLeaksNoSeat(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewRealClock()
+	remote := newCoordinator(clock)
+	s := newSeater(clock, remote)
+	s.Acquire = func(ctx context.Context, _ identifier.Address, req coordinator.Request) (coordinator.Grant, *refuser.Refusal, error) {
+		_, _ = remote.Acquire(ctx, req)
+		return coordinator.Grant{}, nil, errUnreached
+	}
+	seat, refusal := s.Take(t.Context(), request(time.Second))
+	is.True(refusal == nil)
+	settled(s)
+	is.Equal(remote.Held(), 0)
+	seat.PrefillDone(time.Millisecond)
+	seat.Release()
+}
+
+func TestReleaseThatOvertakesItsRequestCounts(t *testing.T) {
+	is := is.New(t)
+	c := newCoordinator(clockwork.NewRealClock())
+	req := request(time.Second)
+	req.Holder, req.Plan = "h", "plan"
+	c.Settle("h", []coordinator.Event{{Plan: "plan", Kind: coordinator.EventReleased}})
+	_, refusal := c.Acquire(t.Context(), req)
+	is.True(refusal == nil)
+	is.Equal(c.Held(), 0)
+}
+
+func TestSeatsOfASilentDaemonComeBack(t *testing.T) {
+	is := is.New(t)
+	c := newCoordinator(clockwork.NewRealClock())
+	req := request(time.Second)
+	req.Holder, req.Plan = "gone", "plan"
+	_, refusal := c.Acquire(t.Context(), req)
+	is.True(refusal == nil)
+	c.KeepHolders(func(identifier.Incarnation) bool { return false })
+	is.Equal(c.Held(), 0)
+	req.Holder, req.Plan = "other", "plan-2"
+	_, refusal = c.Acquire(t.Context(), req)
+	is.True(refusal == nil)
+}
--- a/request/streamer/decode.go
+++ b/request/streamer/decode.go
@@ -11,6 +11,7 @@
 	"sassafraspass.dev/sassafraspass/process/asserter"
 	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/version/parser"
 )
 
 // errSink says that the caller is gone.
@@ -19,16 +20,16 @@
 // decode moves the KV cache and streams tokens. While a prefill result lives,
 // a failed transfer is tried once more with another decode engine. Where that
 // fails too, the prefill engine is the one to avoid.
-func (r *run) decode(ctx context.Context, seat *seatHolder, attempt identifier.AttemptID, result prefilled) *refuser.Refusal {
-	prefill := seat.plan.Prefill.Name
-	first := seat.plan.Decode.Name
+func (r *run) decode(ctx context.Context, seat *heldSeat, attempt identifier.AttemptID, result prefilled) *refuser.Refusal {
+	prefill := seat.Prefill.Name
+	first := seat.Decode.Name
 	err := r.decodeAt(ctx, seat, attempt, result)
 	var failed *transferError
 	if errors.As(err, &failed) && failed.kind != transferRefused {
 		r.avoid = append(r.avoid, first)
 		if r.reseat(ctx, seat, result) {
 			attempt = identifier.NewAttemptID()
-			r.Begin(ctx, messenger.Attempt{ID: attempt, Upstream: seat.plan.Decode.Name, Address: seat.plan.Decode.Address})
+			r.Begin(ctx, messenger.Attempt{ID: attempt, Upstream: seat.Decode.Name, Address: seat.Decode.Address})
 			err = r.decodeAt(ctx, seat, attempt, result)
 		}
 	}
@@ -70,25 +71,24 @@
 func (e *transferError) Unwrap() error { return e.err }
 
 // reseat takes a seat at another decode engine while the result lives.
-func (r *run) reseat(ctx context.Context, seat *seatHolder, result prefilled) bool {
+func (r *run) reseat(ctx context.Context, seat *heldSeat, result prefilled) bool {
 	if ctx.Err() != nil || !r.Clock.Now().Before(result.expires) {
 		return false
 	}
-	moved := r.Scheduler.Reseat(seat.plan, r.planRequest())
+	moved := seat.Move(ctx, r.avoid)
 	if moved == nil {
 		return false
 	}
-	seat.plan = moved
+	seat.Seat = moved
 	return true
 }
 
 // decodeAt streams one attempt. On any failure the attempt is cancelled at
 // both engines.
-func (r *run) decodeAt(ctx context.Context, seat *seatHolder, attempt identifier.AttemptID, result prefilled) (err error) {
-	plan := seat.plan
+func (r *run) decodeAt(ctx context.Context, seat *heldSeat, attempt identifier.AttemptID, result prefilled) (err error) {
 	defer func() {
 		if err != nil {
-			r.Cancel(plan.Decode.Address, attempt)
+			r.Cancel(seat.Decode.Address, attempt)
 			r.Cancel(result.source.Address, attempt)
 		}
 	}()
@@ -97,26 +97,25 @@
 		r.noteTransfer(ctx, seat, err)
 		return err
 	}
-	err = r.relay(ctx, stream, plan.Decode.Name, attempt)
+	err = r.relay(ctx, stream, seat.Decode.Name, attempt)
 	closeStream()
 	if !errors.Is(err, dispatcher.ErrCut) || ctx.Err() != nil {
 		return err
 	}
-	return r.resumeCut(ctx, plan.Decode.Name, plan.Decode.Address, attempt, err)
+	return r.resumeCut(ctx, seat.Decode, seat.DecodeEngineFailed, attempt, err)
 }
 
 // open starts the decode. The engine answers once it has the KV cache, so a
 // late answer is a stalled transfer.
-func (r *run) open(ctx context.Context, seat *seatHolder, attempt identifier.AttemptID, result prefilled) (stream *dispatcher.Stream, closeStream func(), err error) {
-	plan := seat.plan
+func (r *run) open(ctx context.Context, seat *heldSeat, attempt identifier.AttemptID, result prefilled) (stream *dispatcher.Stream, closeStream func(), err error) {
 	streamCtx, cancel := context.WithCancel(ctx)
 	var stalled atomic.Bool
-	timer := r.Clock.AfterFunc(plan.TransferBound, func() {
+	timer := r.Clock.AfterFunc(seat.TransferBound, func() {
 		stalled.Store(true)
 		cancel()
 	})
 	started := r.Clock.Now()
-	stream, err = r.Engines.Decode(streamCtx, plan.Decode.Address, dispatcher.DecodeRequest{
+	stream, err = r.Engines.Decode(streamCtx, seat.Decode.Address, dispatcher.DecodeRequest{
 		Attempt:    attempt,
 		Workspace:  r.job.Workspace.Name,
 		Model:      r.job.Model,
@@ -131,7 +130,7 @@
 		cancel()
 		return nil, nil, &transferError{kind: kindOf(err, stalled.Load()), err: err}
 	}
-	r.Scheduler.TransferDone(plan, dispatcher.CountTokens(r.job.Prompt), r.Clock.Since(started))
+	seat.TransferDone(r.Clock.Since(started))
 	closeStream = func() {
 		cancel()
 		stream.Close()
@@ -152,31 +151,31 @@
 
 // noteTransfer counts a failed transfer. A decode engine that does not answer
 // gets no work for a while; a stall makes the pair look slow.
-func (r *run) noteTransfer(ctx context.Context, seat *seatHolder, err error) {
+func (r *run) noteTransfer(ctx context.Context, seat *heldSeat, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	r.Meter.Retry(meter.RetryTransfer)
-	r.Log.Warn("A transfer failed.", "prefill", seat.plan.Prefill.Name, "decode", seat.plan.Decode.Name, "err", err)
+	r.Log.Warn("A transfer failed.", "prefill", seat.Prefill.Name, "decode", seat.Decode.Name, "err", err)
 	var failed *transferError
 	if errors.As(err, &failed) && failed.kind == transferUnreached {
-		r.Scheduler.Failed(seat.plan.Decode.Name)
+		seat.DecodeEngineFailed()
 		return
 	}
-	r.Scheduler.TransferFailed(seat.plan)
+	seat.TransferFailed()
 }
 
 // resumeCut goes on with a stream that was cut while its engine lives.
-func (r *run) resumeCut(ctx context.Context, name identifier.UpstreamName, address identifier.Address, attempt identifier.AttemptID, cut error) error {
+func (r *run) resumeCut(ctx context.Context, engine parser.Upstream, failed func(), attempt identifier.AttemptID, cut error) error {
 	for range maxTries {
 		r.Meter.Retry(meter.RetryDecode)
 		before := len(r.texts)
-		stream, err := r.resume(ctx, address, attempt)
+		stream, err := r.resume(ctx, engine.Address, attempt)
 		if err != nil {
-			r.blame(ctx, name, meter.RetryDecode, errors.Join(cut, err))
+			r.blame(ctx, engine.Name, meter.RetryDecode, errors.Join(cut, err), failed)
 			return cut
 		}
-		err = r.relay(ctx, stream, name, attempt)
+		err = r.relay(ctx, stream, engine.Name, attempt)
 		stream.Close()
 		if !errors.Is(err, dispatcher.ErrCut) || ctx.Err() != nil {
 			return err
@@ -185,7 +184,7 @@
 			break
 		}
 	}
-	r.blame(ctx, name, meter.RetryDecode, cut)
+	r.blame(ctx, engine.Name, meter.RetryDecode, cut, failed)
 	return cut
 }
 
--- a/request/streamer/resume.go
+++ b/request/streamer/resume.go
@@ -69,7 +69,7 @@
 	err = r.relay(ctx, stream, upstream.Name, id.Attempt)
 	stream.Close()
 	if errors.Is(err, dispatcher.ErrCut) && ctx.Err() == nil {
-		err = r.resumeCut(ctx, upstream.Name, upstream.Address, id.Attempt, err)
+		err = r.resumeCut(ctx, upstream, func() {}, id.Attempt, err)
 	}
 	result := Result{Output: len(r.texts), Reason: r.reason}
 	switch {
--- a/request/streamer/streamer.go
+++ b/request/streamer/streamer.go
@@ -22,9 +22,8 @@
 	"sassafraspass.dev/sassafraspass/process/asserter"
 	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/refuser"
-	"sassafraspass.dev/sassafraspass/request/planner"
-	"sassafraspass.dev/sassafraspass/request/queuer"
-	"sassafraspass.dev/sassafraspass/request/scheduler"
+	"sassafraspass.dev/sassafraspass/request/coordinator"
+	"sassafraspass.dev/sassafraspass/request/seater"
 	"sassafraspass.dev/sassafraspass/version/parser"
 )
 
@@ -70,8 +69,8 @@
 
 // Streamer serves completions.
 type Streamer struct {
-	Scheduler *scheduler.Scheduler
-	Engines   *dispatcher.Engines
+	Seater  *seater.Seater
+	Engines *dispatcher.Engines
 	// Begin journals attempts before they are sent.
 	Begin func(ctx context.Context, attempts ...messenger.Attempt)
 	// End removes an attempt that no engine holds any more.
@@ -143,53 +142,45 @@
 
 // try serves the completion, or what is left of it, through one pair.
 func (r *run) try(ctx context.Context) *refuser.Refusal {
-	plan, refusal := r.acquire(ctx)
+	seat, refusal := r.Seater.Take(ctx, r.seatRequest())
 	if refusal != nil {
 		return refusal
 	}
-	seat := &seatHolder{scheduler: r.Scheduler, plan: plan}
-	defer seat.release()
+	held := &heldSeat{Seat: seat}
+	defer held.release()
 	attempt := identifier.NewAttemptID()
 	r.Begin(ctx,
-		messenger.Attempt{ID: attempt, Upstream: plan.Prefill.Name, Address: plan.Prefill.Address},
-		messenger.Attempt{ID: attempt, Upstream: plan.Decode.Name, Address: plan.Decode.Address})
-	prefilled, refusal := r.prefill(ctx, plan, attempt)
+		messenger.Attempt{ID: attempt, Upstream: seat.Prefill.Name, Address: seat.Prefill.Address},
+		messenger.Attempt{ID: attempt, Upstream: seat.Decode.Name, Address: seat.Decode.Address})
+	prefilled, refusal := r.prefill(ctx, seat, attempt)
 	if refusal != nil {
-		r.Cancel(plan.Prefill.Address, attempt)
-		r.Cancel(plan.Decode.Address, attempt)
+		r.Cancel(seat.Prefill.Address, attempt)
+		r.Cancel(seat.Decode.Address, attempt)
 		return refusal
 	}
-	return r.decode(ctx, seat, attempt, prefilled)
+	return r.decode(ctx, held, attempt, prefilled)
 }
 
-// acquire waits for a pair. Only the first token has a deadline.
-func (r *run) acquire(ctx context.Context) (*planner.Plan, *refuser.Refusal) {
-	deadline := r.job.Deadline
+// seatRequest asks for a pair. Only the first token has a deadline.
+func (r *run) seatRequest() coordinator.Request {
+	now := r.Clock.Now()
+	patience := r.job.Deadline.Sub(now)
 	if len(r.texts) > 0 {
-		deadline = r.Clock.Now().Add(tokenTimeout)
+		patience = tokenTimeout
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	req := r.planRequest()
-	req.Deadline = deadline
-	item := &queuer.Item{
+	prompt := r.textSoFar()
+	tokens := dispatcher.CountTokens(prompt)
+	return coordinator.Request{
+		Model:     r.job.Model,
 		Workspace: r.job.Workspace.Name,
 		Class:     r.job.Class,
-		Cost:      req.Tokens + identifier.Tokens(r.job.MaxOutput),
+		Cost:      tokens + identifier.Tokens(r.job.MaxOutput),
 		Weight:    r.job.Workspace.Rate,
-		Arrived:   r.job.Arrived,
-		Deadline:  deadline,
-	}
-	return r.Scheduler.Acquire(ctx, scheduler.Request{Item: item, Plan: req})
-}
-
-func (r *run) planRequest() planner.Request {
-	prompt := r.textSoFar()
-	return planner.Request{
-		Model:  r.job.Model,
-		Tokens: dispatcher.CountTokens(prompt),
-		Blocks: dispatcher.PromptBlocks(r.job.Model, prompt),
-		Avoid:  r.avoid,
+		Waited:    now.Sub(r.job.Arrived),
+		Patience:  patience,
+		Prompt:    tokens,
+		Blocks:    dispatcher.PromptBlocks(r.job.Model, prompt),
+		Avoid:     r.avoid,
 	}
 }
 
@@ -204,11 +195,11 @@
 	expires time.Time
 }
 
-func (r *run) prefill(ctx context.Context, plan *planner.Plan, attempt identifier.AttemptID) (prefilled, *refuser.Refusal) {
+func (r *run) prefill(ctx context.Context, seat *seater.Seat, attempt identifier.AttemptID) (prefilled, *refuser.Refusal) {
 	prompt := r.textSoFar()
 	started := r.Clock.Now()
 	r.Meter.Event(meter.EventPrefill)
-	resp, err := r.Engines.Prefill(ctx, plan.Prefill.Address, dispatcher.PrefillRequest{
+	resp, err := r.Engines.Prefill(ctx, seat.Prefill.Address, dispatcher.PrefillRequest{
 		Attempt:   attempt,
 		Workspace: r.job.Workspace.Name,
 		Model:     r.job.Model,
@@ -216,21 +207,21 @@
 		Priority:  priorityOf(r.job.Class),
 	})
 	if err != nil {
-		r.Scheduler.PrefillDone(plan, 0, nil)
-		r.blame(ctx, plan.Prefill.Name, meter.RetryPrefill, err)
+		r.blame(ctx, seat.Prefill.Name, meter.RetryPrefill, err, seat.PrefillEngineFailed)
+		seat.PrefillDone(0)
 		return prefilled{}, upstreamFailed("the prefill failed")
 	}
 	now := r.Clock.Now()
-	r.Scheduler.PrefillDone(plan, now.Sub(started), dispatcher.PromptBlocks(r.job.Model, prompt))
+	seat.PrefillDone(now.Sub(started))
 	return prefilled{
-		source:  dispatcher.KVSource{Address: plan.Prefill.Address, Handle: resp.Handle},
+		source:  dispatcher.KVSource{Address: seat.Prefill.Address, Handle: resp.Handle},
 		expires: now.Add(resp.Lifetime()),
 	}, nil
 }
 
 // blame avoids an engine for this request, and for all others a while, unless
 // the request itself was ended.
-func (r *run) blame(ctx context.Context, name identifier.UpstreamName, reason meter.RetryReason, err error) {
+func (r *run) blame(ctx context.Context, name identifier.UpstreamName, reason meter.RetryReason, err error, failed func()) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -239,18 +230,17 @@
 	r.avoid = append(r.avoid, name)
 	var status *dispatcher.StatusError
 	if !errors.As(err, &status) {
-		r.Scheduler.Failed(name)
+		failed()
 	}
 }
 
-// seatHolder holds the plan whose seat is to be released.
-type seatHolder struct {
-	scheduler *scheduler.Scheduler
-	plan      *planner.Plan
+// heldSeat is the seat to be released, which a transfer may have moved.
+type heldSeat struct {
+	*seater.Seat
 }
 
-func (h *seatHolder) release() {
-	h.scheduler.Release(h.plan)
+func (h *heldSeat) release() {
+	h.Release()
 }
 
 func priorityOf(class parser.Class) int {
