Wait for engines that are ill, and judge a call's key in one look

Two calls of 6,586 were refused as 'once-key-reused' without reason: what became of the key and whether the own intent was read were looked up one after the other, and a record came between. Ruled out: a changed fingerprint (the same call each time), expired keys. Change: only engines that leave make a model unavailable, others are waited for; the ledger answers both in one look; the once test and the soak fail on that refusal. Stand-in engines honour priorities and share one link.

--- a/connection/appender/appender.go
+++ b/connection/appender/appender.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/identifier"
 )
 
@@ -115,11 +116,7 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body io.Reader, out any) (err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("call the log service: %s %s: %w", method, path, err)
-		}
-	}()
+	defer annotator.Annotate(&err, "call the log service: %s %s", method, path)
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
 	if err != nil {
 		return err
--- a/connection/dispatcher/engine.go
+++ b/connection/dispatcher/engine.go
@@ -17,6 +17,7 @@
 	"strings"
 	"time"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/identifier"
 )
 
@@ -66,7 +67,7 @@
 
 // Prefill computes a prompt's KV cache. It returns when that is ready.
 func (e *Engines) Prefill(ctx context.Context, address identifier.Address, req PrefillRequest) (resp PrefillResponse, err error) {
-	defer annotate(&err, "prefill at %s", address)
+	defer annotator.Annotate(&err, "prefill at %s", address)
 	err = e.post(ctx, address, PathPrefill, req, &resp)
 	if err != nil {
 		return resp, err
@@ -79,7 +80,7 @@
 
 // Decode starts the generation of tokens and returns its stream.
 func (e *Engines) Decode(ctx context.Context, address identifier.Address, req DecodeRequest) (stream *Stream, err error) {
-	defer annotate(&err, "decode at %s", address)
+	defer annotator.Annotate(&err, "decode at %s", address)
 	raw, err := json.Marshal(req)
 	if err != nil {
 		return nil, err
@@ -96,7 +97,7 @@
 // Resume returns the stream of a running attempt from a token index on. The
 // engine refuses where the attempt belongs to another workspace.
 func (e *Engines) Resume(ctx context.Context, address identifier.Address, attempt identifier.AttemptID, workspace identifier.WorkspaceName, from int) (stream *Stream, err error) {
-	defer annotate(&err, "resume at %s", address)
+	defer annotator.Annotate(&err, "resume at %s", address)
 	query := url.Values{}
 	query.Set("from", strconv.Itoa(from))
 	query.Set("workspace", string(workspace))
@@ -115,21 +116,21 @@
 
 // Cancel ends attempts. It may be repeated.
 func (e *Engines) Cancel(ctx context.Context, address identifier.Address, attempts []identifier.AttemptID) (err error) {
-	defer annotate(&err, "cancel at %s", address)
+	defer annotator.Annotate(&err, "cancel at %s", address)
 	var resp CancelResponse
 	return e.post(ctx, address, PathCancel, CancelRequest{Attempts: attempts}, &resp)
 }
 
 // Load reads the engine's load report.
 func (e *Engines) Load(ctx context.Context, address identifier.Address) (load Load, err error) {
-	defer annotate(&err, "read load of %s", address)
+	defer annotator.Annotate(&err, "read load of %s", address)
 	err = e.get(ctx, address, PathLoad, &load)
 	return load, err
 }
 
 // CacheEvents reads the engine's cache events from a sequence number on.
 func (e *Engines) CacheEvents(ctx context.Context, address identifier.Address, from int64) (events CacheEvents, err error) {
-	defer annotate(&err, "read cache events of %s", address)
+	defer annotator.Annotate(&err, "read cache events of %s", address)
 	err = e.get(ctx, address, PathCacheEvents+"?from="+strconv.FormatInt(from, 10), &events)
 	return events, err
 }
@@ -229,10 +230,3 @@
 func (s *Stream) Close() {
 	_ = s.body.Close()
 }
-
-// annotate adds what was being done to an error.
-func annotate(err *error, format string, args ...any) {
-	if *err != nil {
-		*err = fmt.Errorf(format+": %w", append(args, *err)...)
-	}
-}
--- a/connection/dispatcher/service.go
+++ b/connection/dispatcher/service.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync/atomic"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/identifier"
 )
 
@@ -163,7 +164,7 @@
 // ReadWhole reads an answer of at most limit bytes. More says that the answer
 // is longer; the rest is still unread then.
 func ReadWhole(resp *http.Response, limit int64) (head []byte, more bool, err error) {
-	defer annotate(&err, "read answer")
+	defer annotator.Annotate(&err, "read answer")
 	head, err = io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	return head, int64(len(head)) > limit, err
 }
--- a/connection/messenger/client.go
+++ b/connection/messenger/client.go
@@ -4,13 +4,13 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/connection/messenger/peerv1"
 	"sassafraspass.dev/sassafraspass/connection/messenger/peerv1/peerv1connect"
@@ -86,7 +86,7 @@
 
 // Heartbeat sends a beat and returns the peer's own.
 func (c *Client) Heartbeat(ctx context.Context, address identifier.Address, beat heartbeater.Beat) (answer heartbeater.Beat, err error) {
-	defer annotate(&err, "heartbeat to %s", address)
+	defer annotator.Annotate(&err, "heartbeat to %s", address)
 	resp, err := c.peer(address).Heartbeat(ctx, connect.NewRequest(&peerv1.HeartbeatRequest{Beat: encodeBeat(beat)}))
 	if err != nil {
 		return answer, err
@@ -96,7 +96,7 @@
 
 // Borrow asks a lender for part of its share.
 func (c *Client) Borrow(ctx context.Context, address identifier.Address, req limiter.BorrowRequest) (answer limiter.BorrowResponse, err error) {
-	defer annotate(&err, "borrow from %s", address)
+	defer annotator.Annotate(&err, "borrow from %s", address)
 	resp, err := c.peer(address).Borrow(ctx, connect.NewRequest(encodeBorrow(req)))
 	if err != nil {
 		return answer, err
@@ -111,14 +111,14 @@
 
 // SendJournal tells a buddy about attempts.
 func (c *Client) SendJournal(ctx context.Context, address identifier.Address, journal Journal) (err error) {
-	defer annotate(&err, "journal to %s", address)
+	defer annotator.Annotate(&err, "journal to %s", address)
 	_, err = c.peer(address).Journal(ctx, connect.NewRequest(encodeJournal(journal)))
 	return err
 }
 
 // FetchConfig asks a peer for what lies above a version.
 func (c *Client) FetchConfig(ctx context.Context, address identifier.Address, above identifier.Offset) (config Config, err error) {
-	defer annotate(&err, "fetch configuration from %s", address)
+	defer annotator.Annotate(&err, "fetch configuration from %s", address)
 	resp, err := c.peer(address).FetchConfig(ctx, connect.NewRequest(&peerv1.FetchConfigRequest{Above: int64(above)}))
 	if err != nil {
 		return config, err
@@ -142,10 +142,3 @@
 	err = json.Unmarshal(msg.GetEpoch(), &config.Epoch)
 	return config, err
 }
-
-// annotate adds what was being done to an error.
-func annotate(err *error, format string, args ...any) {
-	if *err != nil {
-		*err = fmt.Errorf(format+": %w", append(args, *err)...)
-	}
-}
--- a/connection/messenger/plans.go
+++ b/connection/messenger/plans.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/connection/dispatcher"
 	"sassafraspass.dev/sassafraspass/connection/messenger/peerv1"
 	"sassafraspass.dev/sassafraspass/identifier"
@@ -16,7 +17,7 @@
 
 // Acquire asks a coordinator for a pair of engines.
 func (c *Client) Acquire(ctx context.Context, address identifier.Address, req coordinator.Request) (grant coordinator.Grant, refusal *refuser.Refusal, err error) {
-	defer annotate(&err, "acquire engines from %s", address)
+	defer annotator.Annotate(&err, "acquire engines from %s", address)
 	resp, err := c.peer(address).Acquire(ctx, connect.NewRequest(encodeAcquire(req)))
 	if err != nil {
 		return grant, nil, err
@@ -27,7 +28,7 @@
 
 // Reseat asks a coordinator for another decode engine.
 func (c *Client) Reseat(ctx context.Context, address identifier.Address, holder identifier.Incarnation, from, to coordinator.PlanID, avoid []identifier.UpstreamName) (grant coordinator.Grant, ok bool, err error) {
-	defer annotate(&err, "reseat at %s", address)
+	defer annotator.Annotate(&err, "reseat at %s", address)
 	resp, err := c.peer(address).Reseat(ctx, connect.NewRequest(&peerv1.ReseatRequest{
 		Incarnation: string(holder),
 		Plan:        string(from),
@@ -43,7 +44,7 @@
 
 // Settle tells a coordinator what became of plans.
 func (c *Client) Settle(ctx context.Context, address identifier.Address, holder identifier.Incarnation, events []coordinator.Event) (err error) {
-	defer annotate(&err, "settle plans at %s", address)
+	defer annotator.Annotate(&err, "settle plans at %s", address)
 	msg := &peerv1.SettleRequest{Incarnation: string(holder)}
 	for _, event := range events {
 		msg.Events = append(msg.Events, &peerv1.PlanEvent{
--- a/connection/tailer/tailer.go
+++ b/connection/tailer/tailer.go
@@ -12,6 +12,7 @@
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/process/repeater"
 )
 
 const (
@@ -58,7 +59,7 @@
 		}
 		t.Meter.Retry(meter.RetryLogRead)
 		t.Log.Debug("Cannot read the log.", "stream", t.Stream, "err", err)
-		t.sleep(ctx, backoff/2+rand.N(backoff/2))
+		repeater.Sleep(ctx, t.Clock, backoff/2+rand.N(backoff/2))
 		backoff = min(2*backoff, maxBackoff)
 	}
 	return ctx.Err()
@@ -85,10 +86,3 @@
 	t.Confirmed(asked, t.Next() >= batch.Next)
 	return nil
 }
-
-func (t *Tailer) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-t.Clock.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/imitator/decode.go
+++ b/imitator/decode.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/connection/dispatcher"
 	"sassafraspass.dev/sassafraspass/identifier"
 )
@@ -114,11 +115,7 @@
 }
 
 func (e *Engine) importKV(ctx context.Context, source dispatcher.KVSource) (err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("import KV cache: %w", err)
-		}
-	}()
+	defer annotator.Annotate(&err, "import KV cache")
 	url := fmt.Sprintf("http://%s/kv/%s", source.Address, source.Handle)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -138,14 +135,12 @@
 // generate takes a seat and adds a token in each token time.
 func (e *Engine) generate(g *generation) {
 	e.addWaiting(1)
-	select {
-	case e.seats <- struct{}{}:
-		e.addWaiting(-1)
-	case <-g.ctx.Done():
-		e.addWaiting(-1)
+	acquired := e.seats.acquire(g.ctx, g.req.Priority)
+	e.addWaiting(-1)
+	if !acquired {
 		return
 	}
-	defer func() { <-e.seats }()
+	defer e.seats.release()
 	ticker := time.NewTicker(e.options.TokenTime)
 	defer ticker.Stop()
 	text := xxhash.New()
--- a/imitator/engine.go
+++ b/imitator/engine.go
@@ -54,8 +54,9 @@
 type Engine struct {
 	faultSwitch
 	options EngineOptions
-	seats   chan struct{}
-	compute chan struct{}
+	seats   *semaphore
+	compute *semaphore
+	link    *semaphore
 
 	mu       sync.Mutex
 	results  map[string]prefillResult
@@ -101,8 +102,9 @@
 func NewEngine(options EngineOptions) *Engine {
 	return &Engine{
 		options:   options,
-		seats:     make(chan struct{}, options.Seats),
-		compute:   make(chan struct{}, 1),
+		seats:     newSemaphore(options.Seats),
+		compute:   newSemaphore(1),
+		link:      newSemaphore(1),
 		results:   make(map[string]prefillResult),
 		attempts:  make(map[identifier.AttemptID]*generation),
 		cancelled: make(map[identifier.AttemptID]bool),
@@ -168,7 +170,7 @@
 	now := time.Now()
 	load := dispatcher.Load{
 		Upstream:     e.options.Name,
-		Running:      len(e.seats),
+		Running:      e.seats.inside(),
 		Waiting:      e.waiting,
 		Seats:        e.options.Seats,
 		QueuedTokens: e.queued,
--- a/imitator/prefill.go
+++ b/imitator/prefill.go
@@ -36,12 +36,10 @@
 func (e *Engine) computePrefill(r *http.Request, req dispatcher.PrefillRequest, tokens identifier.Tokens) (cached identifier.Tokens, ok bool) {
 	e.addQueued(tokens)
 	defer e.addQueued(-tokens)
-	select {
-	case e.compute <- struct{}{}:
-	case <-r.Context().Done():
+	if !e.compute.acquire(r.Context(), req.Priority) {
 		return 0, false
 	}
-	defer func() { <-e.compute }()
+	defer e.compute.release()
 	cached = e.lookUp(req)
 	seconds := float64(tokens-cached) / e.options.PrefillRate
 	wait(r, time.Duration(seconds*float64(time.Second)))
@@ -99,6 +97,10 @@
 		<-r.Context().Done()
 		return
 	}
+	if !e.link.acquire(r.Context(), 0) {
+		return
+	}
+	defer e.link.release()
 	seconds := float64(dispatcher.CountTokens(result.prompt)) / e.options.LinkRate
 	wait(r, time.Duration(seconds*float64(time.Second)))
 	e.mu.Lock()
--- a/imitator/start.go
+++ b/imitator/start.go
@@ -1,11 +1,11 @@
 package imitator
 
 import (
-	"fmt"
 	"net"
 	"net/http"
 	"time"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/identifier"
 )
 
@@ -13,11 +13,7 @@
 
 // Serve answers HTTP at an address until the clean-up function is called.
 func Serve(address identifier.Address, handler http.Handler) (bound identifier.Address, cleanup func(), err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("serve stand-in: %w", err)
-		}
-	}()
+	defer annotator.Annotate(&err, "serve stand-in")
 	l, err := net.Listen("tcp", string(address))
 	if err != nil {
 		return "", nil, err
--- a/process/allotter/allotter.go
+++ b/process/allotter/allotter.go
@@ -6,17 +6,18 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"log/slog"
 	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/confirmer"
 	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/process/repeater"
 	"sassafraspass.dev/sassafraspass/request/limiter"
 	"sassafraspass.dev/sassafraspass/version/epocher"
 )
@@ -62,16 +63,7 @@
 
 // Run settles and proposes epochs until the context ends.
 func (a *Allotter) Run(ctx context.Context) error {
-	ticker := a.Clock.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.Chan():
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		a.Step(ctx)
-	}
+	return repeater.Every(ctx, a.Clock, tickInterval, func() { a.Step(ctx) })
 }
 
 // Step settles the epoch where it may, and proposes another where one is due.
@@ -188,11 +180,7 @@
 }
 
 func (a *Allotter) propose(ctx context.Context, epoch epocher.Epoch) (err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("propose after epoch %d: %w", epoch.Number, err)
-		}
-	}()
+	defer annotator.Annotate(&err, "propose after epoch %d", epoch.Number)
 	proposal := epocher.Proposal{BasedOn: epoch.Number, Members: a.wanted}
 	for _, member := range epoch.Members {
 		proof := a.Members.Proof(member)
--- a/process/commander/demo.go
+++ b/process/commander/demo.go
@@ -12,6 +12,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/demonstrator"
 	"sassafraspass.dev/sassafraspass/process/logger"
@@ -68,11 +69,7 @@
 
 // demoRequest asks for a completion, as soon as the daemon is ready.
 func demoRequest(ctx context.Context, address identifier.Address) (answer string, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("ask for a completion: %w", err)
-		}
-	}()
+	defer annotator.Annotate(&err, "ask for a completion")
 	for {
 		status, body, err := demoTry(ctx, address)
 		if err != nil {
--- a/process/commander/operate.go
+++ b/process/commander/operate.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/server"
@@ -112,11 +113,7 @@
 }
 
 func readStatus(ctx context.Context, operator identifier.Address) (raw []byte, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("ask the daemon at %s: %w", operator, err)
-		}
-	}()
+	defer annotator.Annotate(&err, "ask the daemon at %s", operator)
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(operator)+server.PathStatus, nil)
--- a/process/demonstrator/fleet.go
+++ b/process/demonstrator/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/imitator"
@@ -117,11 +118,7 @@
 // New starts a deployment and publishes its configuration into the log. The
 // clean-up function stops all of it.
 func New(options Options) (f *Fleet, cleanup func(), err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("start deployment: %w", err)
-		}
-	}()
+	defer annotator.Annotate(&err, "start deployment")
 	f = &Fleet{options: options, Log: imitator.NewLog(options.Retention, options.ListLag)}
 	f.LogAddress, err = f.serve(f.Log.Handler(), nil)
 	if err != nil {
--- a/process/journaler/guardian.go
+++ b/process/journaler/guardian.go
@@ -11,6 +11,7 @@
 	"sassafraspass.dev/sassafraspass/connection/messenger"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/process/repeater"
 	"sassafraspass.dev/sassafraspass/version/epocher"
 )
 
@@ -103,19 +104,12 @@
 
 // Run watches the daemons until the context ends.
 func (g *Guardian) Run(ctx context.Context) error {
-	ticker := g.Clock.NewTicker(guardInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.Chan():
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	return repeater.Every(ctx, g.Clock, guardInterval, func() {
 		for _, attempt := range g.Orphans() {
 			g.Meter.Event(meter.EventOrphanCancelled)
 			g.Cancel(attempt.Address, attempt.ID)
 		}
-	}
+	})
 }
 
 // Orphans returns the attempts of daemons that are proven gone for longer
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -3,7 +3,6 @@
 package meter
 
 import (
-	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/refuser"
 )
 
@@ -89,11 +89,7 @@
 
 // New returns a meter, the handler of /metrics and a clean-up function.
 func New() (m *Meter, handler http.Handler, cleanup func() error, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("open metrics: %w", err)
-		}
-	}()
+	defer annotator.Annotate(&err, "open metrics")
 	registry := prometheus.NewRegistry()
 	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{Registerer: registry, Gatherer: registry})
 	options := tally.ScopeOptions{
--- a/process/server/config.go
+++ b/process/server/config.go
@@ -10,6 +10,7 @@
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/logger"
 	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/process/repeater"
 	"sassafraspass.dev/sassafraspass/request/planner"
 	"sassafraspass.dev/sassafraspass/version/epocher"
 	"sassafraspass.dev/sassafraspass/version/folder"
@@ -46,10 +47,7 @@
 			return
 		}
 		s.log.Warn("Cannot read the newest snapshot.", "err", err)
-		select {
-		case <-s.clock.After(snapshotRetry):
-		case <-ctx.Done():
-		}
+		repeater.Sleep(ctx, s.clock, snapshotRetry)
 	}
 }
 
--- a/process/server/peers.go
+++ b/process/server/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,6 +13,7 @@
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/confirmer"
 	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/process/repeater"
 	"sassafraspass.dev/sassafraspass/process/steerer"
 	"sassafraspass.dev/sassafraspass/request/planner"
 	"sassafraspass.dev/sassafraspass/request/streamer"
@@ -100,25 +102,18 @@
 
 // watchMembers passes changes of the members on, until the context ends.
 func (s *Server) watchMembers(ctx context.Context) error {
-	ticker := s.clock.NewTicker(watchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.Chan():
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	return repeater.Every(ctx, s.clock, watchInterval, func() {
 		live := s.liveIncarnations()
 		leaving := leavingVMs(s.members.VMs())
 		s.picker.Listed(leaving)
 		s.coordinator.KeepHolders(func(holder identifier.Incarnation) bool {
-			return holder == s.self.Incarnation || s.isLive(holder)
+			return holder == s.self.Incarnation || slices.Contains(live, holder)
 		})
 		s.scheduler.Update(func(p *planner.Planner, _ time.Time) {
 			p.KeepClaims(live)
 			p.Listed(leaving)
 		})
-	}
+	})
 }
 
 func leavingVMs(vms []appender.VM) []identifier.VMName {
@@ -140,12 +135,7 @@
 }
 
 func (s *Server) isLive(incarnation identifier.Incarnation) bool {
-	for _, live := range s.liveIncarnations() {
-		if live == incarnation {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(s.liveIncarnations(), incarnation)
 }
 
 // isFirst reports whether this daemon is the first of the live ones.
--- a/process/server/soak_test.go
+++ b/process/server/soak_test.go
@@ -222,6 +222,9 @@
 	var body refuser.Body
 	_ = json.Unmarshal(raw, &body)
 	s.count("refused " + string(body.Error.Code))
+	if body.Error.Code == refuser.OnceKeyReused {
+		s.t.Error("a call was refused as another request with the same key")
+	}
 	return body.Error
 }
 
--- a/process/server/stop.go
+++ b/process/server/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"sassafraspass.dev/sassafraspass/process/repeater"
 )
 
 const (
@@ -51,7 +53,7 @@
 	s.log.Info("Leaving.", "entry-max-age", s.settings.EntryMaxAge)
 	s.leaving.Store(true)
 	s.heartbeat.Kick()
-	s.sleep(ctx, s.settings.EntryMaxAge+announceTime)
+	repeater.Sleep(ctx, s.clock, s.settings.EntryMaxAge+announceTime)
 	err := s.callServer.Shutdown(ctx)
 	if err != nil {
 		return err
@@ -69,13 +71,6 @@
 
 func (s *Server) await(ctx context.Context, isDone func() bool) {
 	for !isDone() && ctx.Err() == nil {
-		s.sleep(ctx, handOverPoll)
-	}
-}
-
-func (s *Server) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-s.clock.After(d):
-	case <-ctx.Done():
+		repeater.Sleep(ctx, s.clock, handOverPoll)
 	}
 }
--- a/request/admitter/admitter.go
+++ b/request/admitter/admitter.go
@@ -13,6 +13,7 @@
 
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/process/repeater"
 	"sassafraspass.dev/sassafraspass/refuser"
 	"sassafraspass.dev/sassafraspass/version/folder"
 	"sassafraspass.dev/sassafraspass/version/parser"
@@ -158,15 +159,8 @@
 // Run ends all requests with a key once the daemon has been unable for long to
 // confirm that no key was withdrawn, until the context ends.
 func (a *Admitter) Run(ctx context.Context) error {
-	ticker := a.Clock.NewTicker(sweepInterval)
-	defer ticker.Stop()
 	unconfirmed := time.Duration(0)
-	for {
-		select {
-		case <-ticker.Chan():
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	return repeater.Every(ctx, a.Clock, sweepInterval, func() {
 		unconfirmed += sweepInterval
 		if a.IsCurrent() {
 			unconfirmed = 0
@@ -174,7 +168,7 @@
 		if unconfirmed >= cutAfter {
 			a.endWhere(notCurrent(), func(identifier.KeyDigest) bool { return true })
 		}
-	}
+	})
 }
 
 func (a *Admitter) endWhere(cause *refuser.Refusal, match func(identifier.KeyDigest) bool) {
--- a/request/canceller/canceller.go
+++ b/request/canceller/canceller.go
@@ -12,6 +12,7 @@
 
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/process/repeater"
 )
 
 const (
@@ -118,10 +119,7 @@
 		}
 		c.Meter.Retry(meter.RetryCancel)
 		c.Log.Debug("Cannot cancel.", "engine", address, "attempts", len(attempts), "err", err)
-		select {
-		case <-c.Clock.After(backoff):
-		case <-ctx.Done():
-		}
+		repeater.Sleep(ctx, c.Clock, backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
--- a/request/forwarder/once_test.go
+++ b/request/forwarder/once_test.go
@@ -21,6 +21,7 @@
 	"sassafraspass.dev/sassafraspass/process/asserter"
 	"sassafraspass.dev/sassafraspass/process/logger"
 	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/refuser"
 	"sassafraspass.dev/sassafraspass/request/picker"
 	"sassafraspass.dev/sassafraspass/request/recorder"
 	"sassafraspass.dev/sassafraspass/request/streamer"
@@ -250,6 +251,8 @@
 				t.Errorf("call %s was answered with %q", id, answer.Body)
 			}
 			return
+		case refusal.Code == refuser.OnceKeyReused:
+			t.Errorf("call %s was refused as another request with the same key", id)
 		case refusal.NotRun:
 			time.AfterFunc(time.Minute, func() { w.checkNotRun(t, id) })
 		}
--- a/request/planner/engine.go
+++ b/request/planner/engine.go
@@ -51,7 +51,12 @@
 }
 
 func (e *engine) isUsable(now time.Time) bool {
-	return !e.leaving && !e.unlisted && e.probe == nil && !now.Before(e.sickUntil)
+	return !e.isGoing() && e.probe == nil && !now.Before(e.sickUntil)
+}
+
+// isGoing reports whether the engine or the platform says that it leaves.
+func (e *engine) isGoing() bool {
+	return e.leaving || e.unlisted
 }
 
 // occupancy estimates the requests at a decode engine: for each daemon the
--- a/request/planner/planner.go
+++ b/request/planner/planner.go
@@ -195,16 +195,16 @@
 	return list[:min(len(list), shortlistLength)]
 }
 
-// HasEngines reports whether a model has usable engines of both roles.
-func (p *Planner) HasEngines(now time.Time, model identifier.ModelName) bool {
-	req := Request{Model: model}
-	roles := make(map[parser.Role]bool)
+// HasEngines reports whether a model has engines of both roles that stay. Those
+// that are ill may come back before a request's deadline.
+func (p *Planner) HasEngines(model identifier.ModelName) bool {
+	hasRole := make(map[parser.Role]bool)
 	for _, e := range p.order {
-		if e.model == req.Model && e.isUsable(now) {
-			roles[e.upstream.Role] = true
+		if e.model == model && !e.isGoing() {
+			hasRole[e.upstream.Role] = true
 		}
 	}
-	return roles[parser.RolePrefill] && roles[parser.RoleDecode]
+	return hasRole[parser.RolePrefill] && hasRole[parser.RoleDecode]
 }
 
 // Fastest returns the least time in which a prompt can be prefilled, for
--- a/request/recorder/key.go
+++ b/request/recorder/key.go
@@ -6,6 +6,8 @@
 
 	"github.com/google/uuid"
 	"github.com/oklog/ulid/v2"
+
+	"sassafraspass.dev/sassafraspass/annotator"
 )
 
 // Key is a caller's Idempotency-Key: a ULID or a UUIDv7, which carry the time
@@ -19,11 +21,7 @@
 
 // Time returns the time that the key carries.
 func (k Key) Time() (t time.Time, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("read the time of idempotency key %q: %w", k, err)
-		}
-	}()
+	defer annotator.Annotate(&err, "read the time of idempotency key %q", k)
 	if len(k) == ulidLength {
 		id, err := ulid.ParseStrict(string(k))
 		if err != nil {
--- a/request/recorder/ledger.go
+++ b/request/recorder/ledger.go
@@ -181,16 +181,10 @@
 	return false
 }
 
-// Fate returns what became of a key, and a channel that closes at the next
-// record.
-func (l *Ledger) Fate(workspace identifier.WorkspaceName, key Key) (Fate, <-chan struct{}) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s, ok := l.keys[ledgerKey{workspace: workspace, key: key}]
-	if !ok {
-		return Fate{State: StateFree}, l.notify
-	}
-	return s.fate(), l.notify
+// Fate returns what became of a key.
+func (l *Ledger) Fate(workspace identifier.WorkspaceName, key Key) Fate {
+	fate, _, _ := l.Look(workspace, key, "")
+	return fate
 }
 
 // fate judges the first intent that was not abandoned.
@@ -217,12 +211,16 @@
 	return Fate{State: StateFree}
 }
 
-// HasIntent reports whether an attempt's intent was read.
-func (l *Ledger) HasIntent(workspace identifier.WorkspaceName, key Key, attempt identifier.AttemptID) bool {
+// Look returns what became of a key and whether an attempt's intent was read,
+// both as of the same record, and a channel that closes at the next one.
+func (l *Ledger) Look(workspace identifier.WorkspaceName, key Key, attempt identifier.AttemptID) (fate Fate, isRead bool, changed <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, ok := l.keys[ledgerKey{workspace: workspace, key: key}]
-	return ok && s.hasIntent(attempt)
+	if !ok {
+		return Fate{State: StateFree}, false, l.notify
+	}
+	return s.fate(), s.hasIntent(attempt), l.notify
 }
 
 // Expire drops the keys whose time is before a bound.
--- a/request/recorder/recorder.go
+++ b/request/recorder/recorder.go
@@ -60,7 +60,7 @@
 	if !r.Ledger.IsWhole() {
 		return Decision{Refusal: unrecorded("the record of earlier calls is not read yet")}
 	}
-	fate, _ := r.Ledger.Fate(workspace, key)
+	fate := r.Ledger.Fate(workspace, key)
 	if fate.State != StateFree {
 		return r.judge(fate, fingerprint)
 	}
@@ -83,11 +83,11 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	for {
-		fate, changed := r.Ledger.Fate(intent.Workspace, intent.Key)
+		fate, isRead, changed := r.Ledger.Look(intent.Workspace, intent.Key, intent.Attempt)
 		if fate.Attempt == intent.Attempt {
 			return Decision{Ticket: &Ticket{recorder: r, intent: intent}}
 		}
-		if r.Ledger.HasIntent(intent.Workspace, intent.Key, intent.Attempt) {
+		if isRead {
 			return r.judge(fate, intent.Fingerprint)
 		}
 		select {
--- a/request/recorder/writer.go
+++ b/request/recorder/writer.go
@@ -13,6 +13,7 @@
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/process/repeater"
 )
 
 const (
@@ -118,10 +119,7 @@
 	}
 	w.Meter.Retry(meter.RetryAppend)
 	w.Log.Debug("Cannot append to the once stream.", "err", err)
-	select {
-	case <-w.Clock.After(appendPause):
-	case <-ctx.Done():
-	}
+	repeater.Sleep(ctx, w.Clock, appendPause)
 }
 
 // takeBatch marks the entries that are about to be tried.
--- a/request/scheduler/scheduler.go
+++ b/request/scheduler/scheduler.go
@@ -104,8 +104,7 @@
 func (s *Scheduler) enqueue(req Request) (*entry, *refuser.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock.Now()
-	if !s.planner.HasEngines(now, req.Plan.Model) {
+	if !s.planner.HasEngines(req.Plan.Model) {
 		return nil, refuser.New(http.StatusServiceUnavailable, refuser.NoUpstream, "model %s has no engines now", req.Plan.Model).After(retryInterval)
 	}
 	e := &entry{req: req, granted: make(chan result, 1)}
--- a/request/seater/seater_test.go
+++ b/request/seater/seater_test.go
@@ -155,3 +155,19 @@
 	_, refusal = c.Acquire(t.Context(), req)
 	is.True(refusal == nil)
 }
+
+func TestCallerThatGoesAwayInTheQueueLeavesNothing(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewRealClock()
+	remote := newCoordinator(clock)
+	s := newSeater(clock, remote)
+	_, refusal := s.Take(t.Context(), request(time.Minute))
+	is.True(refusal == nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, refusal = s.Take(ctx, request(time.Minute)) // queues behind the only seat
+	is.True(refusal != nil)
+	settled(s)
+	is.Equal(remote.Held(), 1)
+	is.Equal(s.Loads()["d"].Running, 1)
+}
--- a/request/seater/settler.go
+++ b/request/seater/settler.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/repeater"
 	"sassafraspass.dev/sassafraspass/request/coordinator"
 )
 
@@ -67,9 +68,6 @@
 		if err == nil || ctx.Err() != nil {
 			return
 		}
-		select {
-		case <-s.Clock.After(settlePause):
-		case <-ctx.Done():
-		}
+		repeater.Sleep(ctx, s.Clock, settlePause)
 	}
 }
--- a/request/streamer/resume.go
+++ b/request/streamer/resume.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/connection/dispatcher"
 	"sassafraspass.dev/sassafraspass/connection/messenger"
 	"sassafraspass.dev/sassafraspass/identifier"
@@ -33,11 +34,7 @@
 
 // ParseEventID reads what a caller sends as Last-Event-ID.
 func ParseEventID(text string) (id EventID, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("read event id %q: %w", text, err)
-		}
-	}()
+	defer annotator.Annotate(&err, "read event id %q", text)
 	parts := strings.Split(text, "/")
 	if len(parts) != eventIDParts {
 		return id, fmt.Errorf("it does not have %d parts", eventIDParts)
--- a/version/epocher/epocher.go
+++ b/version/epocher/epocher.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/identifier"
 )
 
@@ -55,11 +56,7 @@
 // Fold returns the epoch after a record. A broken or outdated record leaves
 // the epoch as it is.
 func Fold(current Epoch, offset identifier.Offset, data []byte) (next Epoch, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("fold epoch record %d: %w", offset, err)
-		}
-	}()
+	defer annotator.Annotate(&err, "fold epoch record %d", offset)
 	var proposal Proposal
 	err = json.Unmarshal(data, &proposal)
 	if err != nil {
--- a/version/publisher/publisher.go
+++ b/version/publisher/publisher.go
@@ -12,9 +12,11 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/decoder"
 	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/repeater"
 	"sassafraspass.dev/sassafraspass/version/folder"
 	"sassafraspass.dev/sassafraspass/version/parser"
 	"sassafraspass.dev/sassafraspass/version/snapshotter"
@@ -61,11 +63,7 @@
 // Publish appends a publication and returns its version once the log shows
 // that it was accepted.
 func (p *Publisher) Publish(ctx context.Context, pub *parser.Publication) (version identifier.Offset, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("publish: %w", err)
-		}
-	}()
+	defer annotator.Annotate(&err, "publish")
 	f, err := p.load(ctx)
 	if err != nil {
 		return 0, err
@@ -95,7 +93,7 @@
 		if err == nil || ctx.Err() != nil {
 			return f, err
 		}
-		p.sleep(ctx, retryPause)
+		repeater.Sleep(ctx, p.Clock, retryPause)
 	}
 }
 
@@ -169,7 +167,7 @@
 		if ctx.Err() != nil {
 			return outcome, fmt.Errorf("whether the log took the publication is unknown; repeat it: %w", err)
 		}
-		p.sleep(ctx, retryPause)
+		repeater.Sleep(ctx, p.Clock, retryPause)
 	}
 }
 
@@ -199,7 +197,7 @@
 		if ctx.Err() != nil {
 			return &LateError{Version: version, VMs: late}
 		}
-		p.sleep(ctx, pollInterval)
+		repeater.Sleep(ctx, p.Clock, pollInterval)
 	}
 }
 
@@ -218,10 +216,3 @@
 	slices.Sort(late)
 	return late
 }
-
-func (p *Publisher) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-p.Clock.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/version/snapshotter/snapshotter.go
+++ b/version/snapshotter/snapshotter.go
@@ -5,12 +5,12 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"log/slog"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/version/epocher"
@@ -36,11 +36,7 @@
 // Newest returns the snapshot with the highest version in the log. Without
 // any it returns the version before all records. Broken ones are passed over.
 func Newest(ctx context.Context, read ReadFunc) (version *folder.Version, epoch epocher.Epoch, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("read newest snapshot: %w", err)
-		}
-	}()
+	defer annotator.Annotate(&err, "read newest snapshot")
 	version = folder.NewVersion()
 	epoch = epocher.Epoch{Number: identifier.NoOffset}
 	from := identifier.Offset(0)
@@ -117,11 +113,7 @@
 
 // Write appends one snapshot.
 func (s *Snapshotter) Write(ctx context.Context) (err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("write snapshot: %w", err)
-		}
-	}()
+	defer annotator.Annotate(&err, "write snapshot")
 	version, err := folder.Marshal(s.Version())
 	if err != nil {
 		return err
