Say 'not run' only where no earlier attempt was sent

A completion whose first pair failed and that then ran out of time was refused as not run, although its prefill had run; a repeatable call whose first try was sent and whose last could not connect was refused as not run, too. Ruled out: calls that may not be repeated (their send count is asserted). Change: a refusal after any attempt that was sent says not-run: false. Before: both new tests failed.

--- a/process/commander/failures_test.go
+++ b/process/commander/failures_test.go
@@ -249,15 +249,7 @@
 	d.fault(d.engines[0], imitator.Faults{Leaving: true})
 	d.putVMs()
 	const leavingPromise = 3 * time.Second
-	await(t, leavingPromise, "the daemon to know", func() bool {
-		usable := 0
-		for _, engine := range d.status(d.daemons[0]).Engines {
-			if engine.Usable {
-				usable++
-			}
-		}
-		return usable == 2
-	})
+	await(t, leavingPromise, "the daemon to know", func() bool { return d.usableEngines() == 2 })
 	before := d.counts(d.engines[0]).Prefills + d.counts(d.engines[2]).Tokens
 	for i := range 5 {
 		a, err := complete(t.Context(), d.daemons[0].callers, firstKey, fmt.Sprintf("after %d", i), 5)
@@ -270,8 +262,32 @@
 	is.Equal(d.counts(d.engines[0]).Prefills+d.counts(d.engines[2]).Tokens, before)
 }
 
+// usableEngines returns how many engines the first daemon would use.
+func (d *deployment) usableEngines() int {
+	usable := 0
+	for _, engine := range d.status(d.daemons[0]).Engines {
+		if engine.Usable {
+			usable++
+		}
+	}
+	return usable
+}
+
 func (d *deployment) counts(engine string) (counts imitator.EngineCounts) {
 	d.t.Helper()
 	d.get("http://"+engine+imitator.PathCounts, &counts)
 	return counts
 }
+
+func TestRefusalAfterAnAttemptDoesNotSayNotRun(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1)
+	d.fault(d.engines[0], imitator.Faults{StallTransfers: true})
+	d.fault(d.engines[1], imitator.Faults{Leaving: true})
+	await(t, promise, "the daemon to know that an engine leaves", func() bool { return d.usableEngines() == 3 })
+	a, err := complete(t.Context(), d.daemons[0].callers, firstKey, "prefilled, never decoded", 10)
+	is.NoErr(err)
+	is.Equal(a.refusal().Code, refuser.DeadlineExceeded)
+	is.True(d.counts(d.engines[0]).Prefills > 0)
+	is.True(!a.refusal().NotRun)
+}
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -96,6 +96,14 @@
 	return r
 }
 
+// AfterSend returns the refusal of a request of which an earlier attempt was
+// sent, so that it may have run.
+func (r *Refusal) AfterSend() *Refusal {
+	sent := *r
+	sent.NotRun = false
+	return &sent
+}
+
 // After returns the refusal with a time to wait before the next try.
 func (r *Refusal) After(wait time.Duration) *Refusal {
 	r.RetryAfter = wait
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -84,6 +84,7 @@
 
 // repeatable tries servers in turn, within the retry budget.
 func (f *Forwarder) repeatable(ctx context.Context, upstreams []parser.Upstream, call dispatcher.Call) (answer Answer, done func(), refusal *refuser.Refusal) {
+	sent := false
 	for try := range maxTries {
 		upstream := upstreams[try%len(upstreams)]
 		answer, done, err := f.exchange(ctx, upstream, call, f.Repeatable)
@@ -95,17 +96,18 @@
 		if err == nil {
 			done()
 		}
+		sent = sent || err == nil || wasSent(err)
 		reason := f.note(ctx, upstream, err)
 		if isLast {
-			return Answer{}, nil, failure(ctx, err)
+			break
 		}
 		if !f.Budget.Take() {
 			f.Meter.Retry(meter.RetryBudgetIsGone)
-			return Answer{}, nil, failure(ctx, err)
+			break
 		}
 		f.Meter.Retry(reason)
 	}
-	return Answer{}, nil, failure(ctx, nil)
+	return Answer{}, nil, failure(ctx, sent)
 }
 
 func isRetryable(status int) bool {
@@ -221,19 +223,23 @@
 	return answer, done, nil
 }
 
-// failure tells why a repeatable call has no answer.
-func failure(ctx context.Context, err error) *refuser.Refusal {
+// failure tells why a repeatable call has no answer. Sent says that some try
+// can have reached a server.
+func failure(ctx context.Context, sent bool) *refuser.Refusal {
+	refusal := refuser.New(http.StatusBadGateway, refuser.UpstreamUnreached, "no server could be reached").After(retryAfter)
 	var cause *refuser.Refusal
-	if errors.As(context.Cause(ctx), &cause) {
-		return refuser.Unsettled(cause.Status, cause.Code, "%s", cause.Message)
-	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return refuser.Unsettled(http.StatusGatewayTimeout, refuser.DeadlineExceeded, "the service did not answer in time")
+	switch {
+	case errors.As(context.Cause(ctx), &cause):
+		refusal = cause
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		refusal = refuser.New(http.StatusGatewayTimeout, refuser.DeadlineExceeded, "the service did not answer in time")
+	case sent:
+		refusal = refuser.New(http.StatusBadGateway, refuser.UpstreamFailed, "the service failed").After(retryAfter)
 	}
-	if err != nil && !wasSent(err) {
-		return refuser.New(http.StatusBadGateway, refuser.UpstreamUnreached, "no server could be reached").After(retryAfter)
+	if sent {
+		return refusal.AfterSend()
 	}
-	return refuser.Unsettled(http.StatusBadGateway, refuser.UpstreamFailed, "the service failed").After(retryAfter)
+	return refusal
 }
 
 // fingerprint identifies what a call asks for.
--- /dev/null
+++ b/request/forwarder/repeat_test.go
@@ -0,0 +1,66 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"sassafraspass.dev/sassafraspass/connection/dispatcher"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/asserter"
+	"sassafraspass.dev/sassafraspass/process/logger"
+	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/request/picker"
+	"sassafraspass.dev/sassafraspass/request/streamer"
+	"sassafraspass.dev/sassafraspass/version/folder"
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+// newForwarder returns a forwarder whose tries have the given results.
+func newForwarder(results ...error) *Forwarder {
+	m := meter.NewDetached()
+	return &Forwarder{
+		Repeatable: func(context.Context, identifier.Address, dispatcher.Call) (*http.Response, error) {
+			err := results[0]
+			results = results[1:]
+			return nil, err
+		},
+		Picker: picker.New(clockwork.NewRealClock(), "z"),
+		Budget: streamer.NewBudget(),
+		Log:    logger.Discard(),
+		Meter:  m,
+		Assert: asserter.New(logger.Discard(), m, true),
+	}
+}
+
+func TestRepeatableCallSaysNotRunOnlyIfNoTryWasSent(t *testing.T) {
+	sent := &dispatcher.SendError{Sent: true, Err: errFault}
+	unsent := &dispatcher.SendError{Err: errFault}
+	tests := []struct {
+		name   string
+		tries  []error
+		notRun bool
+	}{
+		{"never sent", []error{unsent, unsent, unsent}, true},
+		{"sent at last", []error{unsent, unsent, sent}, false},
+		{"sent at first", []error{sent, unsent, unsent}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			route := folder.Route{
+				Service: parser.Service{Upstreams: []parser.Upstream{{Name: "a", VM: "a"}, {Name: "b", VM: "b"}}},
+				Profile: parser.Profile{Repeat: parser.RepeatAlways},
+			}
+			_, _, refusal := newForwarder(test.tries...).Forward(t.Context(), route, dispatcher.Call{Header: http.Header{}})
+			is.Equal(refusal.NotRun, test.notRun)
+			if test.notRun {
+				is.Equal(refusal.Code, refuser.UpstreamUnreached)
+			}
+		})
+	}
+}
--- a/request/streamer/streamer.go
+++ b/request/streamer/streamer.go
@@ -93,6 +93,8 @@
 	avoid  []identifier.UpstreamName
 	reason string
 	tries  int
+	// sent says that an engine was asked, so that the request may have run.
+	sent bool
 	// gone is the error of a sink whose caller is gone.
 	gone error
 }
@@ -104,6 +106,8 @@
 	refusal := r.serve(ctx)
 	if refusal == nil {
 		s.Budget.Served()
+	} else if r.sent {
+		refusal = refusal.AfterSend()
 	}
 	return Result{Output: len(r.texts), Reason: r.reason}, refusal
 }
@@ -197,6 +201,7 @@
 
 func (r *run) prefill(ctx context.Context, seat *seater.Seat, attempt identifier.AttemptID) (prefilled, *refuser.Refusal) {
 	prompt := r.textSoFar()
+	r.sent = true
 	started := r.Clock.Now()
 	r.Meter.Event(meter.EventPrefill)
 	resp, err := r.Engines.Prefill(ctx, seat.Prefill.Address, dispatcher.PrefillRequest{
