End a request whose key is withdrawn just before it starts

Cause: reading admission for races: a key withdrawn between its check and the start of its request left that request running, as the withdrawal found nothing to end. Members, proofs and debts of daemons that are gone were kept for ever. A refusal with a code of another build would have ended the handler. Ruled out: the order of store and notice of a version (stored first). Change: the key is looked up again once the request is registered; daemons not heard for 10 minutes are forgotten; unknown codes are not counted; a planned stop asserts that nothing runs; tests for each and for chat answers. The test now waits until each stream has five tokens, and only an answer with status 200 counts as whole.

--- a/imitator/log.go
+++ b/imitator/log.go
@@ -76,15 +76,6 @@
 	return offset
 }
 
-// Records returns the records that are kept of a stream.
-func (l *Log) Records(name identifier.StreamName) []appender.Record {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.stream(name)
-	l.expire(s)
-	return append([]appender.Record(nil), s.records...)
-}
-
 func (l *Log) stream(name identifier.StreamName) *stream {
 	s, ok := l.streams[name]
 	if !ok {
--- a/process/borrower/borrower.go
+++ b/process/borrower/borrower.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -96,6 +97,13 @@
 	}
 }
 
+// Forget drops what was asked of a lender that is gone.
+func (b *Borrower) Forget(lender identifier.Incarnation) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.debts, func(key debtKey, _ *debt) bool { return key.lender == lender })
+}
+
 // round returns the lenders to ask now: those that are known to hold most,
 // after those not yet asked.
 func (b *Borrower) round(workspace identifier.WorkspaceName) []heartbeater.Member {
@@ -180,7 +188,11 @@
 // request stays pending.
 func (b *Borrower) finish(key debtKey, req limiter.BorrowRequest, response limiter.BorrowResponse, err error) {
 	b.mu.Lock()
-	d := b.debts[key]
+	d, known := b.debts[key]
+	if !known {
+		b.mu.Unlock()
+		return
+	}
 	d.busy = false
 	answered := err == nil && response.Epoch == req.Epoch
 	isPending := d.pending != nil && d.pending.Sequence == req.Sequence && d.epoch == req.Epoch
--- a/process/commander/callers_test.go
+++ b/process/commander/callers_test.go
@@ -21,7 +21,7 @@
 	text string
 	// lastID is the id of the last event of a stream.
 	lastID string
-	// whole says that the answer reached its end mark.
+	// whole says that it is an answer, no refusal, and reached its end mark.
 	whole bool
 }
 
@@ -59,7 +59,7 @@
 	}
 	raw, err := io.ReadAll(resp.Body)
 	a.text = string(raw)
-	a.whole = err == nil
+	a.whole = err == nil && a.status == http.StatusOK
 	return a, err
 }
 
--- a/process/commander/failures_test.go
+++ b/process/commander/failures_test.go
@@ -34,14 +34,14 @@
 }
 
 // begin opens a stream and returns once some of its tokens came.
-func begin(t *testing.T, address, prompt string, tokens, until int) *partial {
+func begin(t *testing.T, address, key, prompt string, tokens, until int) *partial {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(completionBody(prompt, tokens, true)))
 	if err != nil {
 		t.Fatal(err)
 	}
-	req.Header.Set("Authorization", "Bearer "+firstKey)
+	req.Header.Set("Authorization", "Bearer "+key)
 	resp, err := http.DefaultTransport.RoundTrip(req) //nolint:bodyclose // stop closes it
 	if err != nil {
 		t.Fatal(err)
@@ -86,7 +86,7 @@
 	is := is.New(t)
 	d := startDeployment(t, 3)
 	prompt := "a summary that is interrupted"
-	p := begin(t, d.daemons[0].callers, prompt, 400, 20)
+	p := begin(t, d.daemons[0].callers, firstKey, prompt, 400, 20)
 	d.daemons[0].kill()
 	<-p.ended
 	is.True(!p.whole)
@@ -108,9 +108,9 @@
 	d := startDeployment(t, 3)
 	var streams []*partial
 	for i := range 3 {
-		streams = append(streams, begin(t, d.daemons[0].callers, fmt.Sprintf("orphan %d", i), 4000, 5))
+		streams = append(streams, begin(t, d.daemons[0].callers, firstKey, fmt.Sprintf("orphan %d", i), 4000, 5))
 	}
-	survivor := begin(t, d.daemons[1].callers, "survivor", 1500, 5)
+	survivor := begin(t, d.daemons[1].callers, firstKey, "survivor", 1500, 5)
 	d.daemons[0].kill()
 	for _, p := range streams {
 		<-p.ended
@@ -136,7 +136,7 @@
 	is := is.New(t)
 	d := startDeployment(t, 1)
 	n := d.daemons[0]
-	p := begin(t, n.callers, "left in decode", 4000, 5)
+	p := begin(t, n.callers, firstKey, "left in decode", 4000, 5)
 	p.stop()
 	await(t, cancelPromise, "the decode to be cancelled", func() bool { return d.heldAll() == 0 })
 
@@ -212,7 +212,7 @@
 func TestStreamGoesOnWhenItsEngineIsKilled(t *testing.T) {
 	is := is.New(t)
 	d := startDeployment(t, 1)
-	p := begin(t, d.daemons[0].callers, "engine dies", 300, 20)
+	p := begin(t, d.daemons[0].callers, firstKey, "engine dies", 300, 20)
 	for i, engine := range d.engines[2:] {
 		if d.held(engine) > 0 {
 			d.upstreams[fmt.Sprintf("decode-%d", i+2)].kill()
--- a/process/commander/outage_test.go
+++ b/process/commander/outage_test.go
@@ -139,7 +139,7 @@
 	d.run("publish", "-log", d.log, "-withdraw", digest)
 	is.Equal(mustCall(t, http.MethodGet, cutOff.callers, "/cost", key, "", nil).refusal().Code, refuser.WithdrawnKey)
 
-	long := begin(t, cutOff.callers, "runs when the daemon is cut off", 4000, 5)
+	long := begin(t, cutOff.callers, firstKey, "runs when the daemon is cut off", 4000, 5)
 	for _, n := range d.daemons[:2] {
 		n.signal(syscall.SIGSTOP)
 	}
--- a/process/commander/path_test.go
+++ b/process/commander/path_test.go
@@ -30,6 +30,14 @@
 		is.True(a.whole)
 		is.Equal(a.text, imitator.ExpectedOutput(prompt, 20))
 
+		chat := `{"model": "tiny", "max_tokens": 5, "stream": %t, "messages": [{"role": "user", "content": [{"type": "text", "text": "hello"}]}]}`
+		want := imitator.ExpectedOutput("user: hello\n", 5)
+		streamed := mustCall(t, http.MethodPost, n.callers, "/v1/chat/completions", firstKey, fmt.Sprintf(chat, true), nil)
+		is.True(streamed.whole)
+		is.Equal(streamed.text, want)
+		plain := mustCall(t, http.MethodPost, n.callers, "/v1/chat/completions", firstKey, fmt.Sprintf(chat, false), nil)
+		is.True(strings.Contains(plain.text, `"message":{"role":"assistant","content":"`+want+`"}`))
+
 		lock := fmt.Sprintf("lock %d", i)
 		header := http.Header{"Idempotency-Key": {ulid.Make().String()}}
 		first := mustCall(t, http.MethodPost, n.callers, "/price-lock/7", firstKey, lock, header)
@@ -65,17 +73,9 @@
 		is.NoErr(err)
 		is.True(a.whole)
 	}
-	var running sync.WaitGroup
-	for _, n := range d.daemons {
-		running.Go(func() {
-			a, _ := complete(t.Context(), n.callers, key, "a long summary", 4000)
-			if a.whole {
-				t.Error("a stream outlived its key")
-			}
-		})
-	}
+	var running []*partial
 	for _, n := range d.daemons {
-		await(t, promise, "the stream to run", func() bool { return d.status(n).Running > 0 })
+		running = append(running, begin(t, n.callers, key, "a long summary", 4000, 5))
 	}
 	d.run("publish", "-log", d.log, "-withdraw", digest)
 	await(t, promise, "the key to be refused everywhere", func() bool {
@@ -87,9 +87,12 @@
 		}
 		return true
 	})
-	running.Wait()
+	for _, p := range running {
+		<-p.ended
+		is.True(!p.whole)
+	}
 	for _, n := range d.daemons {
-		is.Equal(d.status(n).Running, 0)
+		await(t, promise, "nothing to run", func() bool { return d.status(n).Running == 0 })
 	}
 	d.awaitEnginesFree()
 }
--- a/process/heartbeater/members.go
+++ b/process/heartbeater/members.go
@@ -1,6 +1,7 @@
 package heartbeater
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -68,6 +69,8 @@
 	// that prove a VM gone. It exceeds confirmer.StaleAfter, so that a daemon
 	// that was removed has stopped admitting by then.
 	GoneAfter = 8 * time.Second
+	// memory is how long a daemon that is not heard any more is remembered.
+	memory = 10 * time.Minute
 	// refusalsForGone is how many heartbeats in a row must be refused.
 	refusalsForGone = 2
 )
@@ -291,10 +294,40 @@
 	return true
 }
 
-// Forget drops a daemon that left the epoch and is gone.
-func (m *Members) Forget(incarnation identifier.Incarnation) {
+// Expire forgets the daemons that were not heard for long, unless they are
+// watched, and what belongs to them. It returns the forgotten ones.
+func (m *Members) Expire(watched []epocher.Member) (forgotten []identifier.Incarnation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.members, incarnation)
-	delete(m.knownSince, incarnation)
+	isWatched := make(map[identifier.Incarnation]bool)
+	addresses := make(map[identifier.Address]bool)
+	vms := make(map[identifier.VMName]bool)
+	for _, member := range watched {
+		isWatched[member.Incarnation] = true
+		addresses[member.Peer] = true
+		vms[member.VM] = true
+	}
+	now := m.clock.Now()
+	for incarnation, member := range m.members {
+		if !isWatched[incarnation] && now.Sub(member.HeardAt) > memory {
+			delete(m.members, incarnation)
+			forgotten = append(forgotten, incarnation)
+			continue
+		}
+		isWatched[incarnation] = true
+		addresses[member.Peer] = true
+	}
+	for _, vm := range m.listed {
+		addresses[vm.Peer] = true
+	}
+	dropUnless(m.drained, isWatched)
+	dropUnless(m.knownSince, isWatched)
+	dropUnless(m.answered, addresses)
+	dropUnless(m.refused, addresses)
+	dropUnless(m.missingSince, vms)
+	return forgotten
+}
+
+func dropUnless[K comparable, V any](entries map[K]V, kept map[K]bool) {
+	maps.DeleteFunc(entries, func(key K, _ V) bool { return !kept[key] })
 }
--- a/process/heartbeater/members_test.go
+++ b/process/heartbeater/members_test.go
@@ -80,3 +80,17 @@
 	m.Refused(member.Peer, clock.Now())
 	is.Equal(m.Proof(member), ProofNone)
 }
+
+func TestSilentDaemonsAreForgottenUnlessWatched(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	m := NewMembers(clock, "self")
+	m.Heard(Beat{Incarnation: "watched", Peer: member.Peer, Drained: true})
+	m.Heard(Beat{Incarnation: "silent", Peer: "10.0.0.2:1", Drained: true})
+	watched := []epocher.Member{{Incarnation: "watched", Peer: member.Peer}}
+	is.Equal(len(m.Expire(watched)), 0)
+	clock.Advance(memory + time.Second)
+	is.Equal(m.Expire(watched), []identifier.Incarnation{"silent"})
+	is.Equal(m.Proof(watched[0]), ProofDrained)
+	is.Equal(len(m.drained), 1)
+}
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -127,8 +127,14 @@
 	return m
 }
 
-// Refusal counts one refusal.
-func (m *Meter) Refusal(code refuser.Code) { m.refusals[code].add(1) }
+// Refusal counts one refusal. A code that this build does not know, which a
+// peer of another build may send, is not counted.
+func (m *Meter) Refusal(code refuser.Code) {
+	c, ok := m.refusals[code]
+	if ok {
+		c.add(1)
+	}
+}
 
 // Retry counts one retry.
 func (m *Meter) Retry(reason RetryReason) { m.retries[reason].add(1) }
--- a/process/server/peers.go
+++ b/process/server/peers.go
@@ -113,6 +113,10 @@
 			p.KeepClaims(live)
 			p.Listed(leaving)
 		})
+		for _, gone := range s.members.Expire(s.watched()) {
+			s.confirmer.Forget(gone)
+			s.borrower.Forget(gone)
+		}
 	})
 }
 
--- a/process/server/stop.go
+++ b/process/server/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"sassafraspass.dev/sassafraspass/process/asserter"
 	"sassafraspass.dev/sassafraspass/process/repeater"
 )
 
@@ -58,6 +59,7 @@
 	if err != nil {
 		return err
 	}
+	s.assert.That(s.admitter.Running() == 0, asserter.StopCutsNoRequest, "running", s.admitter.Running())
 	s.limiter.Drain()
 	s.heartbeat.Kick()
 	ctx, cancel := context.WithTimeout(ctx, handOverTime)
--- a/request/admitter/admitter.go
+++ b/request/admitter/admitter.go
@@ -132,6 +132,12 @@
 	a.mu.Lock()
 	a.running[r] = struct{}{}
 	a.mu.Unlock()
+	// The key may have been withdrawn since it was admitted, when nothing was
+	// running yet.
+	_, stillValid := a.Version().Keys[caller.Digest]
+	if !stillValid {
+		cancel(withdrawnKey())
+	}
 	exit = func() {
 		a.mu.Lock()
 		delete(a.running, r)
