Count a message's bytes before they are sent

Cause: the third run in a clean clone failed on the control budget: 1,367 bytes for a heartbeat instead of 939. The test's connection counted an answer after it was sent; the client went on first, and the answer's bytes fell into the next message. Ruled out: a larger beat (the sum over the three messages was the same). Change: the count comes before the write. The bound is as it was.

--- a/connection/messenger/bytes_test.go
+++ b/connection/messenger/bytes_test.go
@@ -38,10 +38,10 @@
 	return n, err
 }
 
+// Write counts first, as the client may go on before a later count.
 func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.listener.sent.Add(int64(n))
-	return n, err
+	c.listener.sent.Add(int64(len(p)))
+	return c.Conn.Write(p)
 }
 
 // TestControlFitsItsBudgetAtTodaysSize counts the bytes of each message on the
