Test that a request waits for an engine that is ill

Cause: the soak's needless no-upstream refusals were mended without a test of their own. Ruled out: a process test (the soak shows it already). Change: a unit test; before that mending the refusal was no-upstream.

--- a/request/seater/seater_test.go
+++ b/request/seater/seater_test.go
@@ -171,3 +171,18 @@
 	is.Equal(remote.Held(), 1)
 	is.Equal(s.Loads()["d"].Running, 1)
 }
+
+func TestRequestWaitsForAnEngineThatIsIll(t *testing.T) {
+	is := is.New(t)
+	c := newCoordinator(clockwork.NewRealClock())
+	ill := request(time.Second)
+	ill.Holder, ill.Plan = "h", "plan"
+	_, refusal := c.Acquire(t.Context(), ill)
+	is.True(refusal == nil)
+	c.Settle("h", []coordinator.Event{
+		{Plan: "plan", Kind: coordinator.EventDecodeEngineFailed},
+		{Plan: "plan", Kind: coordinator.EventReleased},
+	})
+	_, refusal = c.Acquire(t.Context(), request(20*time.Millisecond))
+	is.Equal(refusal.Code, refuser.DeadlineExceeded) // it waited; the engine may come back
+}
