--- a/request/forwarder/once_test.go
+++ b/request/forwarder/once_test.go
@@ -270,7 +270,8 @@
 
 // TestCallsThatMayNotBeRepeatedRunAtMostOnce plays callers that repeat their
 // calls at daemons that are killed, with a log whose replies are lost, late or
-// missing, and a service that dies before and after the effect.
+// missing, and a service that dies before and after the effect. It runs in
+// synctest's bubble, whose clock is fake: a sleep there takes no real time.
 func TestCallsThatMayNotBeRepeatedRunAtMostOnce(t *testing.T) {
 	answered := 0
 	for seed := range uint64(onceSeeds) {
