--- /dev/null
+++ b/process/fleet/fleet.go
@@ -0,0 +1,252 @@
+// Package fleet holds what makes a daemon one of many: membership, the version
+// in force, and its shares of the workspaces' limits.
+//
+//	log ──> tailers ──> follower (version), epocher (epoch)
+//	             └────> confirmer (is what we know current?)
+//	peers <──> heartbeater, fetcher, borrower, allotter ──> limiter, admitter
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"sassafraspass.dev/sassafraspass/connection/appender"
+	"sassafraspass.dev/sassafraspass/connection/messenger"
+	"sassafraspass.dev/sassafraspass/connection/tailer"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/allotter"
+	"sassafraspass.dev/sassafraspass/process/asserter"
+	"sassafraspass.dev/sassafraspass/process/borrower"
+	"sassafraspass.dev/sassafraspass/process/confirmer"
+	"sassafraspass.dev/sassafraspass/process/fetcher"
+	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/process/logger"
+	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/request/admitter"
+	"sassafraspass.dev/sassafraspass/request/limiter"
+	"sassafraspass.dev/sassafraspass/version/epocher"
+	"sassafraspass.dev/sassafraspass/version/follower"
+)
+
+const watchInterval = 250 * time.Millisecond
+
+// Identity is how other daemons know this one.
+type Identity struct {
+	Self     epocher.Member
+	Zone     identifier.ZoneName
+	Caller   identifier.Address
+	Operator identifier.Address
+	// Seeds are addresses of peers from the settings.
+	Seeds []identifier.Address
+}
+
+// Drivers reach the platform.
+type Drivers struct {
+	// Append adds a record to a stream of the log.
+	Append func(ctx context.Context, stream identifier.StreamName, data []byte) (identifier.Offset, error)
+	// Read reads records of a stream of the log.
+	Read func(ctx context.Context, stream identifier.StreamName, from identifier.Offset, limit int, wait time.Duration) (appender.Batch, error)
+	// ReadVMs reads the platform's list of VMs.
+	ReadVMs func(ctx context.Context) ([]appender.VM, error)
+}
+
+// Tools are what all parts share.
+type Tools struct {
+	Clock  clockwork.Clock
+	Log    *slog.Logger
+	Meter  *meter.Meter
+	Assert *asserter.Asserter
+}
+
+// Fleet is one daemon's part in the fleet.
+type Fleet struct {
+	Tools
+	Identity Identity
+	Drivers  Drivers
+
+	Messages  *messenger.Client
+	Follower  *follower.Follower
+	Epocher   *epocher.Epocher
+	Confirmer *confirmer.Confirmer
+	Members   *heartbeater.Members
+	Heartbeat *heartbeater.Heartbeater
+	Fetcher   *fetcher.Fetcher
+	Allotter  *allotter.Allotter
+	Limiter   *limiter.Limiter
+	Borrower  *borrower.Borrower
+	Admitter  *admitter.Admitter
+
+	// Extend adds to a beat what other parts of the daemon tell.
+	Extend func(beat *heartbeater.Beat)
+	// Learn takes from a beat what other parts want of it.
+	Learn func(beat heartbeater.Beat)
+	// Watched lists the daemons that matter beside the epoch's members.
+	Watched func() []epocher.Member
+	// IsPrepared reports what the daemon needs beside a version and shares.
+	IsPrepared func() bool
+
+	VersionRead atomic.Bool
+	Leaving     atomic.Bool
+	ready       atomic.Bool
+	removed     chan struct{}
+	removeOnce  sync.Once
+}
+
+// New wires a fleet. The clean-up function closes its connections to peers.
+func New(identity Identity, drivers Drivers, tools Tools) (f *Fleet, cleanup func()) {
+	messages, cleanup := messenger.NewClient()
+	f = &Fleet{
+		Tools:      tools,
+		Identity:   identity,
+		Drivers:    drivers,
+		Messages:   messages,
+		Extend:     func(*heartbeater.Beat) {},
+		Learn:      func(heartbeater.Beat) {},
+		Watched:    func() []epocher.Member { return nil },
+		IsPrepared: func() bool { return true },
+		removed:    make(chan struct{}),
+	}
+	f.wireVersion()
+	f.wireMembers()
+	f.wireLimits()
+	return f, cleanup
+}
+
+func (f *Fleet) wireVersion() {
+	f.Follower = follower.New(f.Assert, f.Meter)
+	f.Epocher = epocher.New()
+	f.Confirmer = confirmer.New(f.Clock, f.Identity.Self.Incarnation, appender.StreamConfig, appender.StreamEpochs)
+	f.Confirmer.Known = func() (identifier.Offset, identifier.Offset) {
+		return f.Follower.Version().Number, f.Epocher.Current().Number
+	}
+	f.Confirmer.Members = f.epochIncarnations
+	f.Fetcher = fetcher.New()
+	f.Fetcher.Follower = f.Follower
+	f.Fetcher.Epocher = f.Epocher
+	f.Fetcher.Fetch = f.Messages.FetchConfig
+	f.Fetcher.Log = logger.For(f.Log, logger.Config)
+	f.Admitter = admitter.New()
+	f.Admitter.Version = f.Follower.Version
+	f.Admitter.IsCurrent = f.Confirmer.IsCurrent
+	f.Admitter.Clock = f.Clock
+	f.Admitter.Meter = f.Meter
+}
+
+func (f *Fleet) wireMembers() {
+	f.Members = heartbeater.NewMembers(f.Clock, f.Identity.Self.Incarnation)
+	f.Heartbeat = heartbeater.New()
+	f.Heartbeat.Members = f.Members
+	f.Heartbeat.Self = f.Identity.Self.Peer
+	f.Heartbeat.Seeds = f.Identity.Seeds
+	f.Heartbeat.Beat = f.Beat
+	f.Heartbeat.Exchange = f.Messages.Heartbeat
+	f.Heartbeat.Received = f.received
+	f.Heartbeat.ReadVMs = f.Drivers.ReadVMs
+	f.Heartbeat.Known = f.watched
+	f.Heartbeat.Clock = f.Clock
+	f.Heartbeat.Log = logger.For(f.Log, logger.Members)
+}
+
+func (f *Fleet) wireLimits() {
+	sharesLog := logger.For(f.Log, logger.Shares)
+	f.Limiter = limiter.New(f.Clock, f.Assert)
+	f.Limiter.IsCurrent = f.Confirmer.IsCurrent
+	f.Borrower = borrower.New()
+	f.Borrower.Self = f.Identity.Self.Incarnation
+	f.Borrower.Limiter = f.Limiter
+	f.Borrower.Lenders = f.lenders
+	f.Borrower.Borrow = f.Messages.Borrow
+	f.Borrower.Clock = f.Clock
+	f.Borrower.Log = sharesLog
+	f.Borrower.Meter = f.Meter
+	f.Allotter = &allotter.Allotter{
+		Self:      f.Identity.Self,
+		Epocher:   f.Epocher,
+		Limiter:   f.Limiter,
+		Members:   f.Members,
+		IsJoining: func() bool { return !f.Leaving.Load() && f.VersionRead.Load() },
+		IsCurrent: f.Confirmer.IsCurrent,
+		Append:    f.Drivers.Append,
+		Removed:   func() { f.removeOnce.Do(func() { close(f.removed) }) },
+		Clock:     f.Clock,
+		Log:       sharesLog,
+	}
+	f.Epocher.Changed = f.enterEpoch
+}
+
+// Duties lists what runs for as long as the daemon does.
+func (f *Fleet) Duties() []func(ctx context.Context) error {
+	return []func(ctx context.Context) error{
+		f.Heartbeat.Run,
+		f.Heartbeat.RunList,
+		f.Fetcher.Run,
+		f.Allotter.Run,
+		f.Limiter.Run,
+		f.Borrower.Run,
+		f.Admitter.Run,
+	}
+}
+
+// Removed is closed when an epoch left this daemon out against its will.
+func (f *Fleet) Removed() <-chan struct{} {
+	return f.removed
+}
+
+// Tailer returns a tailer of a stream of the log.
+func (f *Fleet) Tailer(stream identifier.StreamName) *tailer.Tailer {
+	return &tailer.Tailer{
+		Stream: stream,
+		Read:   f.Drivers.Read,
+		Clock:  f.Clock,
+		Log:    logger.For(f.Log, logger.Config),
+		Meter:  f.Meter,
+	}
+}
+
+// EpochTailer returns a tailer that folds the epochs stream. Truncated must be
+// set.
+func (f *Fleet) EpochTailer() *tailer.Tailer {
+	t := f.Tailer(appender.StreamEpochs)
+	t.Next = f.Epocher.Next
+	t.Handle = func(record appender.Record) {
+		err := f.Epocher.Handle(record.Offset, record.Data)
+		if err != nil {
+			f.Log.Debug("An epoch record has no effect.", "err", err)
+		}
+	}
+	t.Confirmed = func(asked time.Time, whole bool) {
+		if whole {
+			f.Confirmer.LogRead(appender.StreamEpochs, asked)
+		}
+	}
+	return t
+}
+
+// enterEpoch begins an epoch in the limiter.
+func (f *Fleet) enterEpoch(epoch epocher.Epoch) {
+	base := identifier.Parts(0)
+	if epoch.Has(f.Identity.Self.Incarnation) {
+		base = epoch.BaseShare()
+	}
+	f.Limiter.EnterEpoch(epoch.Number, base)
+	f.Heartbeat.Kick()
+	f.Log.Info("An epoch began.", "epoch", epoch.Number, "members", len(epoch.Members), "share-ppm", base)
+}
+
+// IsReady reports whether this daemon has known its configuration and held
+// shares. A later change of epoch does not make it unready.
+func (f *Fleet) IsReady() bool {
+	if f.ready.Load() {
+		return true
+	}
+	ready := f.VersionRead.Load() && f.Limiter.IsSettled() && f.IsPrepared()
+	if ready && f.ready.CompareAndSwap(false, true) {
+		f.Heartbeat.Kick()
+	}
+	return ready
+}
--- a/process/logger/logger.go
+++ b/process/logger/logger.go
@@ -34,9 +34,14 @@
 	return slog.New(slog.DiscardHandler)
 }
 
-// For returns a logger for one part.
+// For returns a logger for one part. It replaces the prefix of another part.
 func For(log *slog.Logger, part Part) *slog.Logger {
-	return slog.New(&prefixHandler{Handler: log.Handler(), prefix: string(part) + ": "})
+	handler := log.Handler()
+	prefixed, ok := handler.(*prefixHandler)
+	if ok {
+		handler = prefixed.Handler
+	}
+	return slog.New(&prefixHandler{Handler: handler, prefix: string(part) + ": "})
 }
 
 // prefixHandler puts the part's prefix before each message.
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -19,7 +19,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -29,31 +28,23 @@
 	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/connection/listener"
-	"sassafraspass.dev/sassafraspass/connection/messenger"
 	"sassafraspass.dev/sassafraspass/identifier"
-	"sassafraspass.dev/sassafraspass/process/allotter"
 	"sassafraspass.dev/sassafraspass/process/asserter"
-	"sassafraspass.dev/sassafraspass/process/borrower"
 	"sassafraspass.dev/sassafraspass/process/configurer"
-	"sassafraspass.dev/sassafraspass/process/confirmer"
-	"sassafraspass.dev/sassafraspass/process/fetcher"
-	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/process/fleet"
 	"sassafraspass.dev/sassafraspass/process/journaler"
 	"sassafraspass.dev/sassafraspass/process/logger"
 	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/process/poller"
-	"sassafraspass.dev/sassafraspass/request/admitter"
 	"sassafraspass.dev/sassafraspass/request/canceller"
 	"sassafraspass.dev/sassafraspass/request/coordinator"
 	"sassafraspass.dev/sassafraspass/request/forwarder"
-	"sassafraspass.dev/sassafraspass/request/limiter"
 	"sassafraspass.dev/sassafraspass/request/picker"
 	"sassafraspass.dev/sassafraspass/request/recorder"
 	"sassafraspass.dev/sassafraspass/request/scheduler"
 	"sassafraspass.dev/sassafraspass/request/seater"
 	"sassafraspass.dev/sassafraspass/request/streamer"
 	"sassafraspass.dev/sassafraspass/version/epocher"
-	"sassafraspass.dev/sassafraspass/version/follower"
 	"sassafraspass.dev/sassafraspass/version/snapshotter"
 )
 
@@ -65,57 +56,52 @@
 
 // Server is one daemon.
 type Server struct {
-	settings configurer.Settings
-	clock    clockwork.Clock
-	self     epocher.Member
-	log      *slog.Logger
-	meter    *meter.Meter
-	assert   *asserter.Asserter
+	*fleet.Fleet
 
+	settings  configurer.Settings
+	listeners listeners
+	engines   engineParts
+	services  serviceParts
+	metrics   http.Handler
+
+	logClient  *appender.Client
+	snapshot   *snapshotter.Snapshotter
+	listener   *listener.Listener
+	callServer *http.Server
+
+	aborted   chan struct{}
+	abortOnce sync.Once
+
+	resumedMu sync.Mutex
+	resumed   map[identifier.AttemptID]time.Time
+}
+
+// listeners are the daemon's open addresses.
+type listeners struct {
 	callers   net.Listener
 	peers     net.Listener
 	operators net.Listener
-	metrics   http.Handler
+}
 
-	logClient   *appender.Client
-	messages    *messenger.Client
-	follower    *follower.Follower
-	epocher     *epocher.Epocher
-	confirmer   *confirmer.Confirmer
-	members     *heartbeater.Members
-	heartbeat   *heartbeater.Heartbeater
-	fetcher     *fetcher.Fetcher
-	allotter    *allotter.Allotter
-	limiter     *limiter.Limiter
-	borrower    *borrower.Borrower
-	admitter    *admitter.Admitter
+// engineParts carry completions.
+type engineParts struct {
 	scheduler   *scheduler.Scheduler
 	coordinator *coordinator.Coordinator
 	seater      *seater.Seater
 	poller      *poller.Poller
-	picker      *picker.Picker
-	ledger      *recorder.Ledger
-	writer      *recorder.Writer
-	recorder    *recorder.Recorder
 	canceller   *canceller.Canceller
 	journaler   *journaler.Journaler
 	guardian    *journaler.Guardian
-	snapshot    *snapshotter.Snapshotter
-	listener    *listener.Listener
 	streamer    *streamer.Streamer
-	forwarder   *forwarder.Forwarder
-	callServer  *http.Server
-
-	versionRead atomic.Bool
-	ready       atomic.Bool
-	leaving     atomic.Bool
-	removed     chan struct{}
-	removeOnce  sync.Once
-	aborted     chan struct{}
-	abortOnce   sync.Once
+}
 
-	resumedMu sync.Mutex
-	resumed   map[identifier.AttemptID]time.Time
+// serviceParts carry calls to plain services.
+type serviceParts struct {
+	picker    *picker.Picker
+	ledger    *recorder.Ledger
+	writer    *recorder.Writer
+	recorder  *recorder.Recorder
+	forwarder *forwarder.Forwarder
 }
 
 // New opens a daemon's addresses and wires its parts. The clean-up function
@@ -130,9 +116,6 @@
 	}
 	s = &Server{
 		settings: settings,
-		clock:    clock,
-		log:      logger.For(log, logger.Process),
-		removed:  make(chan struct{}),
 		aborted:  make(chan struct{}),
 		resumed:  make(map[identifier.AttemptID]time.Time),
 	}
@@ -148,18 +131,32 @@
 		return nil, nil, err
 	}
 	closers = append(closers, func() { _ = closeMetrics() })
-	s.meter = m
 	s.metrics = handler
-	s.assert = asserter.New(s.log, m, settings.Assertion == configurer.AssertFatal)
-	s.self = epocher.Member{
-		Incarnation: identifier.Incarnation(ulid.Make().String()),
-		VM:          settings.VM,
-		Peer:        identifier.Address(s.peers.Addr().String()),
+	processLog := logger.For(log, logger.Process)
+	tools := fleet.Tools{
+		Clock:  clock,
+		Log:    processLog,
+		Meter:  m,
+		Assert: asserter.New(processLog, m, settings.Assertion == configurer.AssertFatal),
 	}
-	closers = append(closers, s.wire(log)...)
+	closers = append(closers, s.wire(s.identity(), tools)...)
 	return s, cleanup, nil
 }
 
+func (s *Server) identity() fleet.Identity {
+	return fleet.Identity{
+		Self: epocher.Member{
+			Incarnation: identifier.Incarnation(ulid.Make().String()),
+			VM:          s.settings.VM,
+			Peer:        identifier.Address(s.listeners.peers.Addr().String()),
+		},
+		Zone:     s.settings.Zone,
+		Caller:   s.CallerAddress(),
+		Operator: s.OperatorAddress(),
+		Seeds:    s.settings.Seeds,
+	}
+}
+
 func (s *Server) listen() (closeAll func(), err error) {
 	var opened []net.Listener
 	closeAll = func() {
@@ -171,9 +168,9 @@
 		address identifier.Address
 		into    *net.Listener
 	}{
-		{s.settings.Callers, &s.callers},
-		{s.settings.Peers, &s.peers},
-		{s.settings.Operators, &s.operators},
+		{s.settings.Callers, &s.listeners.callers},
+		{s.settings.Peers, &s.listeners.peers},
+		{s.settings.Operators, &s.listeners.operators},
 	}
 	for _, target := range targets {
 		l, err := net.Listen("tcp", string(target.address))
@@ -188,17 +185,17 @@
 
 // CallerAddress returns the address that callers connect to.
 func (s *Server) CallerAddress() identifier.Address {
-	return identifier.Address(s.callers.Addr().String())
+	return identifier.Address(s.listeners.callers.Addr().String())
 }
 
 // PeerAddress returns the address that other daemons connect to.
 func (s *Server) PeerAddress() identifier.Address {
-	return s.self.Peer
+	return s.Identity.Self.Peer
 }
 
 // OperatorAddress returns the address that operators connect to.
 func (s *Server) OperatorAddress() identifier.Address {
-	return identifier.Address(s.operators.Addr().String())
+	return identifier.Address(s.listeners.operators.Addr().String())
 }
 
 // Run serves until the context ends, and then stops in a planned way. It
@@ -209,42 +206,36 @@
 		dutyCtx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return duty(dutyCtx) }, func(error) { cancel() })
 	}
-	s.addServer(&group, s.callServer, s.callers)
-	s.addServer(&group, listener.NewServer(s.peerHandler()), s.peers)
-	s.addServer(&group, listener.NewServer(s.operatorHandler()), s.operators)
+	s.addServer(&group, s.callServer, s.listeners.callers)
+	s.addServer(&group, listener.NewServer(s.peerHandler()), s.listeners.peers)
+	s.addServer(&group, listener.NewServer(s.operatorHandler()), s.listeners.operators)
 	stopCtx, cancel := context.WithCancel(context.Background())
 	group.Add(func() error { return s.awaitStop(ctx, stopCtx) }, func(error) { cancel() })
-	s.log.Info("Started.", "vm", s.settings.VM, "incarnation", s.self.Incarnation,
+	s.Log.Info("Started.", "vm", s.settings.VM, "incarnation", s.Identity.Self.Incarnation,
 		"callers", s.CallerAddress(), "peers", s.PeerAddress(), "operators", s.OperatorAddress())
 	err := group.Run()
-	s.log.Info("Stopped.", "err", err)
+	s.Log.Info("Stopped.", "err", err)
 	return err
 }
 
 // duties lists what runs for as long as the daemon does.
 func (s *Server) duties() []func(ctx context.Context) error {
-	return []func(ctx context.Context) error{
+	return append(
+		s.Duties(),
 		s.followConfig,
 		s.followEpochs,
 		s.followOnce,
-		s.heartbeat.Run,
-		s.heartbeat.RunList,
 		s.watchMembers,
-		s.fetcher.Run,
-		s.allotter.Run,
-		s.limiter.Run,
-		s.borrower.Run,
-		s.admitter.Run,
-		s.scheduler.Run,
-		s.seater.Run,
-		s.poller.Run,
-		s.writer.Run,
-		s.recorder.RunExpiry,
-		s.canceller.Run,
-		s.journaler.Run,
-		s.guardian.Run,
+		s.engines.scheduler.Run,
+		s.engines.seater.Run,
+		s.engines.poller.Run,
+		s.services.writer.Run,
+		s.services.recorder.RunExpiry,
+		s.engines.canceller.Run,
+		s.engines.journaler.Run,
+		s.engines.guardian.Run,
 		s.snapshot.Run,
-	}
+	)
 }
 
 func (s *Server) addServer(group *run.Group, server *http.Server, l net.Listener) {
--- a/process/server/status.go
+++ b/process/server/status.go
@@ -73,35 +73,35 @@
 
 // Status returns what this daemon knows.
 func (s *Server) Status() Status {
-	beat := s.beat()
-	version := s.follower.Version()
+	beat := s.Beat()
+	version := s.Follower.Version()
 	status := Status{
 		VM:              beat.VM,
 		Zone:            beat.Zone,
 		Incarnation:     beat.Incarnation,
 		State:           beat.State,
-		Ready:           s.isReady(),
-		Current:         s.confirmer.IsCurrent(),
+		Ready:           s.IsReady(),
+		Current:         s.Confirmer.IsCurrent(),
 		Version:         beat.Version,
 		Epoch:           beat.Epoch,
-		Shares:          s.limiter.Holdings(),
-		Running:         s.admitter.Running(),
-		Waiting:         s.scheduler.Waiting(),
-		UnackedCancels:  s.canceller.Pending(),
-		JournalledHere:  s.journaler.Running(),
-		OnceKeys:        s.ledger.Len(),
-		UnwrittenOnce:   s.writer.Len(),
-		Counters:        s.meter.Report(),
+		Shares:          s.Limiter.Holdings(),
+		Running:         s.Admitter.Running(),
+		Waiting:         s.engines.scheduler.Waiting(),
+		UnackedCancels:  s.engines.canceller.Pending(),
+		JournalledHere:  s.engines.journaler.Running(),
+		OnceKeys:        s.services.ledger.Len(),
+		UnwrittenOnce:   s.services.writer.Len(),
+		Counters:        s.Meter.Report(),
 		BrokenRecords:   version.Broken,
 		KnownWorkspaces: len(version.Workspaces),
 		KnownKeys:       len(version.Keys),
 		WithdrawnKeys:   len(version.Withdrawn),
-		SettledLimits:   s.limiter.IsSettled(),
+		SettledLimits:   s.Limiter.IsSettled(),
 	}
 	if beat.LogAge != confirmer.Never {
 		status.LogAge = beat.LogAge.Round(time.Millisecond).String()
 	}
-	for _, member := range s.members.Live() {
+	for _, member := range s.Members.Live() {
 		status.Members = append(status.Members, MemberStatus{
 			VM:      member.VM,
 			Zone:    member.Zone,
@@ -116,6 +116,6 @@
 		}
 		return 1
 	})
-	s.scheduler.Look(func(p *planner.Planner, now time.Time) { status.Engines = p.Statuses(now) })
+	s.engines.scheduler.Look(func(p *planner.Planner, now time.Time) { status.Engines = p.Statuses(now) })
 	return status
 }
--- a/process/server/stop.go
+++ b/process/server/stop.go
@@ -28,7 +28,7 @@
 func (s *Server) awaitStop(ctx, hardStop context.Context) error {
 	select {
 	case <-ctx.Done():
-	case <-s.removed:
+	case <-s.Removed():
 		return ErrRemoved
 	case <-s.aborted:
 		return errAborted
@@ -51,28 +51,30 @@
 // still come are served until their addresses have expired, what runs ends,
 // and shares and records go to the others.
 func (s *Server) leave(ctx context.Context) error {
-	s.log.Info("Leaving.", "entry-max-age", s.settings.EntryMaxAge)
-	s.leaving.Store(true)
-	s.heartbeat.Kick()
-	repeater.Sleep(ctx, s.clock, s.settings.EntryMaxAge+announceTime)
+	s.Log.Info("Leaving.", "entry-max-age", s.settings.EntryMaxAge)
+	s.Leaving.Store(true)
+	s.Heartbeat.Kick()
+	repeater.Sleep(ctx, s.Clock, s.settings.EntryMaxAge+announceTime)
 	err := s.callServer.Shutdown(ctx)
 	if err != nil {
 		return err
 	}
-	s.assert.That(s.admitter.Running() == 0, asserter.StopCutsNoRequest, "running", s.admitter.Running())
-	s.limiter.Drain()
-	s.heartbeat.Kick()
+	s.Assert.That(s.Admitter.Running() == 0, asserter.StopCutsNoRequest, "running", s.Admitter.Running())
+	s.Limiter.Drain()
+	s.Heartbeat.Kick()
 	ctx, cancel := context.WithTimeout(ctx, handOverTime)
 	defer cancel()
-	s.await(ctx, func() bool { return s.writer.Len() == 0 })
-	s.await(ctx, func() bool { return s.canceller.Pending() == 0 })
-	s.await(ctx, func() bool { return s.journaler.IsFlushed() })
-	s.await(ctx, func() bool { return !s.epocher.Current().Has(s.self.Incarnation) || len(s.members.Live()) == 0 })
+	s.await(ctx, func() bool { return s.services.writer.Len() == 0 })
+	s.await(ctx, func() bool { return s.engines.canceller.Pending() == 0 })
+	s.await(ctx, func() bool { return s.engines.journaler.IsFlushed() })
+	s.await(ctx, func() bool {
+		return !s.Epocher.Current().Has(s.Identity.Self.Incarnation) || len(s.Members.Live()) == 0
+	})
 	return nil
 }
 
 func (s *Server) await(ctx context.Context, isDone func() bool) {
 	for !isDone() && ctx.Err() == nil {
-		repeater.Sleep(ctx, s.clock, handOverPoll)
+		repeater.Sleep(ctx, s.Clock, handOverPoll)
 	}
 }
--- a/process/server/wire.go
+++ b/process/server/wire.go
@@ -6,21 +6,15 @@
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/connection/dispatcher"
 	"sassafraspass.dev/sassafraspass/connection/listener"
-	"sassafraspass.dev/sassafraspass/connection/messenger"
 	"sassafraspass.dev/sassafraspass/identifier"
-	"sassafraspass.dev/sassafraspass/process/allotter"
-	"sassafraspass.dev/sassafraspass/process/borrower"
-	"sassafraspass.dev/sassafraspass/process/confirmer"
-	"sassafraspass.dev/sassafraspass/process/fetcher"
+	"sassafraspass.dev/sassafraspass/process/fleet"
 	"sassafraspass.dev/sassafraspass/process/heartbeater"
 	"sassafraspass.dev/sassafraspass/process/journaler"
 	"sassafraspass.dev/sassafraspass/process/logger"
 	"sassafraspass.dev/sassafraspass/process/poller"
-	"sassafraspass.dev/sassafraspass/request/admitter"
 	"sassafraspass.dev/sassafraspass/request/canceller"
 	"sassafraspass.dev/sassafraspass/request/coordinator"
 	"sassafraspass.dev/sassafraspass/request/forwarder"
-	"sassafraspass.dev/sassafraspass/request/limiter"
 	"sassafraspass.dev/sassafraspass/request/picker"
 	"sassafraspass.dev/sassafraspass/request/planner"
 	"sassafraspass.dev/sassafraspass/request/recorder"
@@ -28,205 +22,152 @@
 	"sassafraspass.dev/sassafraspass/request/seater"
 	"sassafraspass.dev/sassafraspass/request/streamer"
 	"sassafraspass.dev/sassafraspass/version/epocher"
-	"sassafraspass.dev/sassafraspass/version/follower"
 	"sassafraspass.dev/sassafraspass/version/parser"
 	"sassafraspass.dev/sassafraspass/version/snapshotter"
 )
 
 // wire makes the parts and returns their clean-up functions.
-func (s *Server) wire(log *slog.Logger) (closers []func()) {
+func (s *Server) wire(identity fleet.Identity, tools fleet.Tools) (closers []func()) {
 	logClient, closeLog := appender.NewClient(s.settings.Log)
-	messages, closeMessages := messenger.NewClient()
+	s.logClient = logClient
+	drivers := fleet.Drivers{Append: logClient.Append, Read: logClient.Read, ReadVMs: logClient.VMs}
+	f, closeMessages := fleet.New(identity, drivers, tools)
+	s.Fleet = f
 	engines, closeEngines := dispatcher.NewEngines()
 	services, closeServices := dispatcher.NewServices()
-	s.logClient = logClient
-	s.messages = messages
-	s.wireVersion(log)
-	s.wireMembers(log)
-	s.wireLimits(log)
+	log := tools.Log
+	s.wireSnapshots(log)
+	s.wireGuardian(log)
 	s.wireEngines(log, engines)
 	s.wireServices(log, services)
 	s.wireListener(log)
+	s.Extend = s.extendBeat
+	s.Learn = s.learn
+	s.Watched = s.engines.guardian.Owners
 	return []func(){closeLog, closeMessages, closeEngines, closeServices}
 }
 
-func (s *Server) wireVersion(log *slog.Logger) {
-	configLog := logger.For(log, logger.Config)
-	s.follower = follower.New(s.assert, s.meter)
-	s.epocher = epocher.New()
-	s.confirmer = confirmer.New(s.clock, s.self.Incarnation, appender.StreamConfig, appender.StreamEpochs)
-	s.confirmer.Known = func() (identifier.Offset, identifier.Offset) {
-		return s.follower.Version().Number, s.epocher.Current().Number
-	}
-	s.confirmer.Members = s.epochIncarnations
-	s.fetcher = fetcher.New()
-	s.fetcher.Follower = s.follower
-	s.fetcher.Epocher = s.epocher
-	s.fetcher.Fetch = s.messages.FetchConfig
-	s.fetcher.Log = configLog
+func (s *Server) wireSnapshots(log *slog.Logger) {
 	s.snapshot = &snapshotter.Snapshotter{
 		Interval: s.settings.SnapshotInterval,
-		IsChosen: s.isFirst,
-		Version:  s.follower.Version,
-		Epoch:    s.epocher.Current,
+		IsChosen: s.IsFirst,
+		Version:  s.Follower.Version,
+		Epoch:    s.Epocher.Current,
 		Append:   s.logClient.Append,
-		Clock:    s.clock,
-		Log:      configLog,
-	}
-}
-
-func (s *Server) wireMembers(log *slog.Logger) {
-	s.members = heartbeater.NewMembers(s.clock, s.self.Incarnation)
-	s.heartbeat = heartbeater.New()
-	s.heartbeat.Members = s.members
-	s.heartbeat.Self = s.self.Peer
-	s.heartbeat.Seeds = s.settings.Seeds
-	s.heartbeat.Beat = s.beat
-	s.heartbeat.Exchange = s.messages.Heartbeat
-	s.heartbeat.Received = s.received
-	s.heartbeat.ReadVMs = s.logClient.VMs
-	s.heartbeat.Known = s.watched
-	s.heartbeat.Clock = s.clock
-	s.heartbeat.Log = logger.For(log, logger.Members)
-	s.guardian = journaler.NewGuardian()
-	s.guardian.IsGone = func(member epocher.Member) bool {
-		return s.members.Proof(member) != heartbeater.ProofNone
+		Clock:    s.Clock,
+		Log:      logger.For(log, logger.Config),
 	}
-	s.guardian.Owner = s.owner
-	s.guardian.Clock = s.clock
-	s.guardian.Log = logger.For(log, logger.Cancel)
-	s.guardian.Meter = s.meter
 }
 
-func (s *Server) wireLimits(log *slog.Logger) {
-	sharesLog := logger.For(log, logger.Shares)
-	s.limiter = limiter.New(s.clock, s.assert)
-	s.limiter.IsCurrent = s.confirmer.IsCurrent
-	s.borrower = borrower.New()
-	s.borrower.Self = s.self.Incarnation
-	s.borrower.Limiter = s.limiter
-	s.borrower.Lenders = s.lenders
-	s.borrower.Borrow = s.messages.Borrow
-	s.borrower.Clock = s.clock
-	s.borrower.Log = sharesLog
-	s.borrower.Meter = s.meter
-	s.allotter = &allotter.Allotter{
-		Self:      s.self,
-		Epocher:   s.epocher,
-		Limiter:   s.limiter,
-		Members:   s.members,
-		IsJoining: func() bool { return !s.leaving.Load() && s.versionRead.Load() },
-		IsCurrent: s.confirmer.IsCurrent,
-		Append:    s.logClient.Append,
-		Removed:   func() { s.removeOnce.Do(func() { close(s.removed) }) },
-		Clock:     s.clock,
-		Log:       sharesLog,
+func (s *Server) wireGuardian(log *slog.Logger) {
+	guardian := journaler.NewGuardian()
+	guardian.IsGone = func(member epocher.Member) bool {
+		return s.Members.Proof(member) != heartbeater.ProofNone
 	}
-	s.epocher.Changed = s.enterEpoch
+	guardian.Owner = s.owner
+	guardian.Clock = s.Clock
+	guardian.Log = logger.For(log, logger.Cancel)
+	guardian.Meter = s.Meter
+	s.engines.guardian = guardian
 }
 
 func (s *Server) wireEngines(log *slog.Logger, engines *dispatcher.Engines) {
-	s.scheduler = scheduler.New(s.clock, s.assert, planner.New())
-	s.coordinator = coordinator.New(s.clock, s.scheduler)
-	s.seater = seater.New()
-	s.seater.Self = s.self.Incarnation
-	s.seater.Local = s.coordinator
-	s.seater.Target = s.coordinatorOf
-	s.seater.Acquire = s.messages.Acquire
-	s.seater.Reseat = s.messages.Reseat
-	s.seater.Settle = s.messages.Settle
-	s.seater.Upstream = func(name identifier.UpstreamName) (parser.Upstream, bool) {
-		return s.follower.Version().Upstream(name)
+	s.engines.scheduler = scheduler.New(s.Clock, s.Assert, planner.New())
+	s.engines.coordinator = coordinator.New(s.Clock, s.engines.scheduler)
+	s.engines.seater = seater.New()
+	s.engines.seater.Self = s.Identity.Self.Incarnation
+	s.engines.seater.Local = s.engines.coordinator
+	s.engines.seater.Target = s.CoordinatorOf
+	s.engines.seater.Acquire = s.Messages.Acquire
+	s.engines.seater.Reseat = s.Messages.Reseat
+	s.engines.seater.Settle = s.Messages.Settle
+	s.engines.seater.Upstream = func(name identifier.UpstreamName) (parser.Upstream, bool) {
+		return s.Follower.Version().Upstream(name)
 	}
-	s.seater.Clock = s.clock
-	s.seater.Log = logger.For(log, logger.Upstream)
-	s.seater.Meter = s.meter
-	s.poller = &poller.Poller{
-		IsCoordinator: func(model identifier.ModelName) bool { return s.coordinatorOf(model) == "" },
-		Version:       s.follower.Version,
+	s.engines.seater.Clock = s.Clock
+	s.engines.seater.Log = logger.For(log, logger.Upstream)
+	s.engines.seater.Meter = s.Meter
+	s.engines.poller = &poller.Poller{
+		IsCoordinator: func(model identifier.ModelName) bool { return s.CoordinatorOf(model) == "" },
+		Version:       s.Follower.Version,
 		Engines:       engines,
-		Scheduler:     s.scheduler,
-		Clock:         s.clock,
+		Scheduler:     s.engines.scheduler,
+		Clock:         s.Clock,
 	}
-	s.journaler = journaler.New()
-	s.journaler.Self = s.self.Incarnation
-	s.journaler.Zone = s.settings.Zone
-	s.journaler.Live = s.members.Live
-	s.journaler.Send = s.messages.SendJournal
-	s.journaler.Clock = s.clock
-	s.journaler.Log = logger.For(log, logger.Cancel)
-	s.canceller = canceller.New()
-	s.canceller.Send = engines.Cancel
-	s.canceller.Acknowledged = s.journaler.Freed
-	s.canceller.Clock = s.clock
-	s.canceller.Log = logger.For(log, logger.Cancel)
-	s.canceller.Meter = s.meter
-	s.guardian.Cancel = s.canceller.Cancel
-	s.streamer = &streamer.Streamer{
-		Seater:  s.seater,
+	s.engines.journaler = journaler.New()
+	s.engines.journaler.Self = s.Identity.Self.Incarnation
+	s.engines.journaler.Zone = s.settings.Zone
+	s.engines.journaler.Live = s.Members.Live
+	s.engines.journaler.Send = s.Messages.SendJournal
+	s.engines.journaler.Clock = s.Clock
+	s.engines.journaler.Log = logger.For(log, logger.Cancel)
+	s.engines.canceller = canceller.New()
+	s.engines.canceller.Send = engines.Cancel
+	s.engines.canceller.Acknowledged = s.engines.journaler.Freed
+	s.engines.canceller.Clock = s.Clock
+	s.engines.canceller.Log = logger.For(log, logger.Cancel)
+	s.engines.canceller.Meter = s.Meter
+	s.engines.guardian.Cancel = s.engines.canceller.Cancel
+	s.engines.streamer = &streamer.Streamer{
+		Seater:  s.engines.seater,
 		Engines: engines,
-		Begin:   s.journaler.Begin,
-		End:     s.journaler.End,
-		Cancel:  s.canceller.Cancel,
+		Begin:   s.engines.journaler.Begin,
+		End:     s.engines.journaler.End,
+		Cancel:  s.engines.canceller.Cancel,
 		Budget:  streamer.NewBudget(),
-		Clock:   s.clock,
+		Clock:   s.Clock,
 		Log:     logger.For(log, logger.Upstream),
-		Meter:   s.meter,
-		Assert:  s.assert,
+		Meter:   s.Meter,
+		Assert:  s.Assert,
 	}
 }
 
 func (s *Server) wireServices(log *slog.Logger, services *dispatcher.Services) {
 	onceLog := logger.For(log, logger.Once)
-	s.picker = picker.New(s.clock, s.settings.Zone)
-	s.ledger = recorder.NewLedger()
-	s.writer = recorder.NewWriter()
-	s.writer.Append = s.logClient.Append
-	s.writer.Clock = s.clock
-	s.writer.Log = onceLog
-	s.writer.Meter = s.meter
-	s.recorder = &recorder.Recorder{
-		Self:   s.self.Incarnation,
-		Ledger: s.ledger,
-		Writer: s.writer,
-		IsLive: s.isLive,
-		Clock:  s.clock,
+	s.services.picker = picker.New(s.Clock, s.settings.Zone)
+	s.services.ledger = recorder.NewLedger()
+	s.services.writer = recorder.NewWriter()
+	s.services.writer.Append = s.logClient.Append
+	s.services.writer.Clock = s.Clock
+	s.services.writer.Log = onceLog
+	s.services.writer.Meter = s.Meter
+	s.services.recorder = &recorder.Recorder{
+		Self:   s.Identity.Self.Incarnation,
+		Ledger: s.services.ledger,
+		Writer: s.services.writer,
+		IsLive: s.IsLive,
+		Clock:  s.Clock,
 		Log:    onceLog,
 	}
-	s.forwarder = &forwarder.Forwarder{
+	s.services.forwarder = &forwarder.Forwarder{
 		Repeatable: services.Repeatable,
 		Once:       services.Once,
-		Picker:     s.picker,
-		Recorder:   s.recorder,
+		Picker:     s.services.picker,
+		Recorder:   s.services.recorder,
 		Budget:     streamer.NewBudget(),
 		Log:        logger.For(log, logger.Upstream),
-		Meter:      s.meter,
-		Assert:     s.assert,
+		Meter:      s.Meter,
+		Assert:     s.Assert,
 	}
 }
 
 func (s *Server) wireListener(log *slog.Logger) {
 	requestLog := logger.For(log, logger.Request)
-	s.admitter = admitter.New()
-	s.admitter.Version = s.follower.Version
-	s.admitter.IsCurrent = s.confirmer.IsCurrent
-	s.admitter.Clock = s.clock
-	s.admitter.Meter = s.meter
-	s.follower.Installed = s.installed
+	s.Follower.Installed = s.installed
 	s.listener = &listener.Listener{
-		Version:   s.follower.Version,
-		Admitter:  s.admitter,
-		Limiter:   s.limiter,
-		Streamer:  s.streamer,
-		Forward:   s.forwarder,
-		IsReady:   s.isReady,
-		IsLeaving: s.leaving.Load,
+		Version:   s.Follower.Version,
+		Admitter:  s.Admitter,
+		Limiter:   s.Limiter,
+		Streamer:  s.engines.streamer,
+		Forward:   s.services.forwarder,
+		IsReady:   s.IsReady,
+		IsLeaving: s.Leaving.Load,
 		Entry:     s.entry,
 		Resumed:   s.noteResumed,
 		Metrics:   s.metrics,
-		Clock:     s.clock,
+		Clock:     s.Clock,
 		Log:       requestLog,
-		Meter:     s.meter,
+		Meter:     s.Meter,
 	}
 	s.callServer = listener.NewServer(s.listener.Handler())
 }
