--- a/connection/tailer/tailer.go
+++ b/connection/tailer/tailer.go
@@ -39,6 +39,8 @@
 	// Confirmed is told the time at which a successful read was asked for.
 	// Whole is true where the read reached the end of the stream.
 	Confirmed func(asked time.Time, whole bool)
+	// Gate, if set, waits until a read is due.
+	Gate func(ctx context.Context)
 
 	Clock clockwork.Clock
 	Log   *slog.Logger
@@ -49,6 +51,9 @@
 func (t *Tailer) Run(ctx context.Context) error {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		if t.Gate != nil {
+			t.Gate(ctx)
+		}
 		err := t.step(ctx)
 		if err == nil {
 			backoff = minBackoff
--- a/process/allotter/allotter.go
+++ b/process/allotter/allotter.go
@@ -49,6 +49,9 @@
 	Append func(ctx context.Context, stream identifier.StreamName, data []byte) (identifier.Offset, error)
 	// Removed is told that the epoch left this daemon out against its will.
 	Removed func()
+	// Rejoins says that a daemon that was left out joins the next epoch
+	// instead of telling Removed. Its shares end with the epoch without it.
+	Rejoins bool
 
 	Clock clockwork.Clock
 	Log   *slog.Logger
@@ -90,6 +93,11 @@
 	isMember := epoch.Has(a.Self.Incarnation)
 	removed := a.wasMember && !isMember && a.IsJoining()
 	a.wasMember = a.wasMember || isMember
+	if removed && a.Rejoins {
+		a.Log.Warn("This daemon was left out of the epoch and joins again.", "epoch", epoch.Number)
+		a.wasMember = false
+		return false
+	}
 	if removed {
 		a.Log.Error("This daemon was removed from the epoch.", "epoch", epoch.Number)
 		a.Removed()
--- a/process/commander/commander.go
+++ b/process/commander/commander.go
@@ -15,7 +15,9 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"sassafraspass.dev/sassafraspass/decoder"
+	"sassafraspass.dev/sassafraspass/platform"
 	"sassafraspass.dev/sassafraspass/process/configurer"
+	"sassafraspass.dev/sassafraspass/process/gateway"
 	"sassafraspass.dev/sassafraspass/process/logger"
 	"sassafraspass.dev/sassafraspass/process/server"
 	"sassafraspass.dev/sassafraspass/version/parser"
@@ -121,6 +123,9 @@
 		if err != nil {
 			return err
 		}
+		if settings.Gateway != nil {
+			return c.runGateway(ctx, settings)
+		}
 		log := logger.New(c.err, settings.LogLevel)
 		daemon, cleanup, err := server.New(settings, log, clockwork.NewRealClock())
 		if err != nil {
@@ -131,6 +136,19 @@
 	})
 }
 
+// runGateway runs a daemon that passes requests through on the platform.
+func (c *Commander) runGateway(ctx context.Context, settings configurer.Settings) error {
+	drivers, closeDrivers := platform.Drivers(settings.Log)
+	defer closeDrivers()
+	log := logger.New(c.out, settings.LogLevel)
+	daemon, cleanup, err := gateway.New(settings, drivers, log, clockwork.NewRealClock())
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	return daemon.Run(ctx)
+}
+
 func (c *Commander) check() *ffcli.Command {
 	flags := flag.NewFlagSet("check", flag.ContinueOnError)
 	path := flags.String("settings", "", "a settings `file` to check too")
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -44,6 +44,29 @@
 	SnapshotInterval time.Duration `json:"snapshot-interval"`
 	LogLevel         slog.Level    `json:"log-level"`
 	Assertion        Assertion     `json:"assertion"`
+	// Gateway is set for a daemon that passes requests through on a platform.
+	Gateway *Gateway `json:"gateway,omitempty"`
+}
+
+// Gateway holds the settings of a daemon that passes requests through.
+type Gateway struct {
+	// Readiness and Directory are the addresses where the platform asks
+	// whether the daemon is ready, and callers which daemons to use.
+	Readiness identifier.Address `json:"readiness"`
+	Directory identifier.Address `json:"directory"`
+	// MemoryMiB is the VM's memory; zero sets no limit.
+	MemoryMiB int64 `json:"memory-mib"`
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace time.Duration `json:"grace"`
+	// RetryRatio and RetryExtra bound the sends to a second upstream within
+	// RetryWindow, over all daemons.
+	RetryRatio  float64       `json:"retry-ratio"`
+	RetryExtra  int           `json:"retry-extra"`
+	RetryWindow time.Duration `json:"retry-window"`
+	// Lease is the least time between orders of two holders.
+	Lease time.Duration `json:"lease"`
+	// LogLines bounds the log, in lines a second.
+	LogLines int `json:"log-lines"`
 }
 
 const (
@@ -112,6 +135,27 @@
 	if s.Assertion != AssertCount && s.Assertion != AssertFatal {
 		return doc.Fault("/assertion", "must be %q or %q", AssertCount, AssertFatal)
 	}
+	if s.Gateway != nil {
+		return checkGateway(doc, *s.Gateway)
+	}
+	return nil
+}
+
+func checkGateway(doc *decoder.Document, g Gateway) error {
+	switch {
+	case !isAddress(g.Readiness):
+		return doc.Fault("/gateway/readiness", "must be an IP address with a port")
+	case !isAddress(g.Directory):
+		return doc.Fault("/gateway/directory", "must be an IP address with a port")
+	case g.MemoryMiB < 0:
+		return doc.Fault("/gateway/memory-mib", "must not be negative")
+	case g.Grace < time.Second:
+		return doc.Fault("/gateway/grace", "must be at least %s", time.Second)
+	case g.RetryRatio < 0 || g.RetryExtra < 0:
+		return doc.Fault("/gateway/retry-ratio", "must not be negative")
+	case g.RetryWindow < time.Second:
+		return doc.Fault("/gateway/retry-window", "must be at least %s", time.Second)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/process/gateway/follow.go
@@ -0,0 +1,230 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"sassafraspass.dev/sassafraspass/connection/appender"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/confirmer"
+	"sassafraspass.dev/sassafraspass/process/fleet"
+	"sassafraspass.dev/sassafraspass/process/logger"
+	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/process/repeater"
+	"sassafraspass.dev/sassafraspass/version/epocher"
+	"sassafraspass.dev/sassafraspass/version/folder"
+	"sassafraspass.dev/sassafraspass/version/router"
+)
+
+const (
+	// versionWait is how long the store holds a read for a new version.
+	versionWait = time.Second
+	// readers is how many daemons read the store for all.
+	readers = 2
+	// relayedAge is the age from which a daemon reads for itself what its
+	// peers tell it.
+	relayedAge = 1800 * time.Millisecond
+	gatePoll   = 100 * time.Millisecond
+	retryPause = 300 * time.Millisecond
+)
+
+// fleetDrivers are the drivers of the part that is common to all daemons.
+func (g *Gateway) fleetDrivers() fleet.Drivers {
+	return fleet.Drivers{
+		Append: func(ctx context.Context, _ identifier.StreamName, data []byte) (identifier.Offset, error) {
+			return g.drivers.AppendEpoch(ctx, data, g.Epocher.Next())
+		},
+		Read:    g.drivers.ReadEpochs,
+		ReadVMs: g.readVMs,
+	}
+}
+
+// isReader reports whether this daemon reads the store for the others: the
+// first live ones do, of two availability zones where possible.
+func (g *Gateway) isReader() bool {
+	before := 0
+	zones := map[identifier.ZoneName]bool{}
+	for _, member := range g.Members.Live() {
+		if member.Incarnation < g.Identity.Self.Incarnation && !zones[member.Zone] {
+			zones[member.Zone] = true
+			before++
+		}
+	}
+	return before < readers && !zones[g.Identity.Zone]
+}
+
+// awaitDue waits until this daemon has to read the store: as a reader, or
+// because what its peers tell is too old.
+func (g *Gateway) awaitDue(ctx context.Context) {
+	for ctx.Err() == nil && !g.isReader() {
+		age := g.Confirmer.LogAge()
+		if age == confirmer.Never || age > relayedAge {
+			return
+		}
+		repeater.Sleep(ctx, g.Clock, gatePoll)
+	}
+}
+
+// followVersions reads the configuration until the context ends.
+func (g *Gateway) followVersions(ctx context.Context) error {
+	log := logger.For(g.Log, logger.Config)
+	next := identifier.NoOffset
+	isOut := false
+	for ctx.Err() == nil {
+		g.awaitDue(ctx)
+		asked := g.Clock.Now()
+		news, err := g.readVersions(ctx, next)
+		if err != nil {
+			g.Meter.Retry(meter.RetryLogRead)
+			if !isOut && ctx.Err() == nil {
+				log.Warn("The store is out of reach.", "err", err, "version", g.Follower.Version().Number)
+			}
+			isOut = true
+			repeater.Sleep(ctx, g.Clock, retryPause)
+			continue
+		}
+		if isOut {
+			log.Info("The store is back.", "version", g.Follower.Version().Number)
+			isOut = false
+		}
+		next = news.Next
+		if news.Lost {
+			next = identifier.NoOffset
+			continue
+		}
+		for _, broken := range news.Broken {
+			g.Meter.Event(meter.EventBrokenRecord)
+			log.Warn("A configuration cannot be read.", "err", broken)
+		}
+		for _, version := range news.Versions {
+			g.Follower.InstallVersion(version)
+		}
+		g.Confirmer.LogRead(appender.StreamConfig, asked)
+		if g.Follower.Version().Number != identifier.NoOffset {
+			g.VersionRead.Store(true)
+		}
+	}
+	return ctx.Err()
+}
+
+func (g *Gateway) readVersions(ctx context.Context, next identifier.Offset) (VersionNews, error) {
+	if next == identifier.NoOffset {
+		return g.drivers.NewestVersion(ctx)
+	}
+	return g.drivers.ReadVersions(ctx, next, versionWait)
+}
+
+// installed puts a new version in force.
+func (g *Gateway) installed(version *folder.Version) {
+	g.routes.Store(router.New(version.Routes))
+	g.Limiter.Configure(version.Workspaces)
+	g.upstreamsChanged()
+	g.VersionRead.Store(true)
+	g.Heartbeat.Kick()
+	logger.For(g.Log, logger.Config).Info("A version is in force.", "version", version.Number, "routes", len(version.Routes), "workspaces", len(version.Workspaces))
+}
+
+// followEpochs reads the epochs until the context ends.
+func (g *Gateway) followEpochs(ctx context.Context) error {
+	t := g.EpochTailer()
+	t.Gate = g.awaitDue
+	t.Truncated = func(ctx context.Context, _ identifier.Offset) error {
+		data, offset, err := g.drivers.NewestEpoch(ctx)
+		if err != nil || data == nil {
+			return err
+		}
+		var proposal epocher.Proposal
+		err = json.Unmarshal(data, &proposal)
+		if err != nil {
+			return err
+		}
+		g.Epocher.Install(epocher.Epoch{Number: offset, Members: proposal.Members, WaitForStale: proposal.WaitForStale})
+		return nil
+	}
+	return t.Run(ctx)
+}
+
+// followUpstreams reads the list of upstreams until the context ends.
+func (g *Gateway) followUpstreams(ctx context.Context) error {
+	log := logger.For(g.Log, logger.Upstream)
+	next := identifier.NoOffset
+	for ctx.Err() == nil {
+		news, err := g.readUpstreams(ctx, next)
+		if err != nil {
+			g.Meter.Retry(meter.RetryLogRead)
+			repeater.Sleep(ctx, g.Clock, retryPause)
+			continue
+		}
+		isWhole := next == identifier.NoOffset
+		next = news.Next
+		if news.Lost {
+			next = identifier.NoOffset
+			continue
+		}
+		g.registrar.Read(false)
+		g.takeUpstreams(log, news, isWhole)
+		g.registrar.Read(isWhole)
+		repeater.Sleep(ctx, g.Clock, registrar.ReadInterval)
+	}
+	return ctx.Err()
+}
+
+func (g *Gateway) readUpstreams(ctx context.Context, next identifier.Offset) (UpstreamNews, error) {
+	if next == identifier.NoOffset {
+		return g.drivers.ListUpstreams(ctx)
+	}
+	return g.drivers.ReadUpstreams(ctx, next, registrar.ReadWait)
+}
+
+func (g *Gateway) takeUpstreams(log logWarner, news UpstreamNews, isWhole bool) {
+	listed := make(map[identifier.UpstreamName]bool)
+	for _, change := range news.Changes {
+		switch {
+		case change.Gone:
+			g.registrar.Remove(change.Name)
+		case change.Broken != nil:
+			g.Meter.Event(meter.EventBrokenRecord)
+			log.Warn("A record names no upstream.", "name", change.Name, "err", change.Broken)
+			g.registrar.Remove(change.Name)
+		default:
+			listed[change.Name] = true
+			g.registrar.Put(change.Entry)
+		}
+	}
+	if isWhole {
+		g.registrar.Keep(listed)
+	}
+}
+
+// logWarner is the part of a logger that is used for broken records.
+type logWarner interface {
+	Warn(msg string, args ...any)
+}
+
+// upstreamsChanged wakes the duty that passes upstreams on.
+func (g *Gateway) upstreamsChanged() {
+	select {
+	case g.changed <- struct{}{}:
+	default:
+	}
+}
+
+// passUpstreams tells the placer and the ejector of changed upstreams, until
+// the context ends.
+func (g *Gateway) passUpstreams(ctx context.Context) error {
+	for {
+		select {
+		case <-g.changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		for name, service := range g.Follower.Version().Services {
+			if service.Engine != nil {
+				g.placer.Configure(name, *service.Engine, g.registrar.Ready(name))
+			}
+		}
+		g.ejector.Keep(g.registrar.All())
+	}
+}
--- /dev/null
+++ b/process/gateway/list.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"sassafraspass.dev/sassafraspass/connection/appender"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/process/logger"
+	"sassafraspass.dev/sassafraspass/process/repeater"
+)
+
+const (
+	listTimeout = 2 * time.Second
+	// settleTime is how long after its start a daemon reads the list each
+	// second. Those that come later make themselves known, so that it reads
+	// once in listInterval then.
+	settleTime   = 6 * time.Second
+	listInterval = 8 * time.Second
+	// retireAfter is how long a listed daemon must be silent to be taken off.
+	// One that lives puts itself back.
+	retireAfter = 10 * time.Second
+)
+
+// errNotDue says that the list is not read now.
+var errNotDue = errors.New("the list of VMs is not due")
+
+// roster keeps this daemon on the list of VMs, and those off it that are gone.
+type roster struct {
+	mu          sync.Mutex
+	startedAt   time.Time
+	readAt      time.Time
+	silentSince map[identifier.VMName]time.Time
+}
+
+func newRoster(now time.Time) *roster {
+	return &roster{startedAt: now, silentSince: make(map[identifier.VMName]time.Time)}
+}
+
+// isDue reports whether the list is to be read, and notes that it is.
+func (r *roster) isDue(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.startedAt) > settleTime && now.Sub(r.readAt) < listInterval {
+		return false
+	}
+	r.readAt = now
+	return true
+}
+
+// silent returns the listed VMs that have been silent for long.
+func (r *roster) silent(listed []appender.VM, live []heartbeater.Member, now time.Time) (names []identifier.VMName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, vm := range listed {
+		isLive := slices.ContainsFunc(live, func(m heartbeater.Member) bool { return m.VM == vm.Name })
+		since, known := r.silentSince[vm.Name]
+		switch {
+		case isLive:
+			delete(r.silentSince, vm.Name)
+		case !known:
+			r.silentSince[vm.Name] = now
+		case now.Sub(since) > retireAfter:
+			names = append(names, vm.Name)
+		}
+	}
+	return names
+}
+
+func (g *Gateway) ownVM() appender.VM {
+	return appender.VM{
+		Name:     g.settings.VM,
+		Zone:     g.settings.Zone,
+		State:    appender.VMLive,
+		Peer:     g.Identity.Self.Peer,
+		Operator: g.Identity.Operator,
+	}
+}
+
+// announce puts this daemon on the list of VMs, and returns when the context
+// ends.
+func (g *Gateway) announce(ctx context.Context) error {
+	for ctx.Err() == nil && g.putOnList(ctx) != nil {
+		repeater.Sleep(ctx, g.Clock, retryPause)
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (g *Gateway) putOnList(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return g.drivers.Announce(ctx, g.ownVM())
+}
+
+// readVMs reads the list of VMs where it is due, puts this daemon back on it
+// where it is missing, and takes off those that are silent.
+func (g *Gateway) readVMs(ctx context.Context) ([]appender.VM, error) {
+	now := g.Clock.Now()
+	if !g.roster.isDue(now) {
+		return nil, errNotDue
+	}
+	vms, err := g.drivers.ReadVMs(ctx)
+	if err != nil {
+		return nil, err
+	}
+	others := slices.DeleteFunc(slices.Clone(vms), func(vm appender.VM) bool { return vm.Name == g.settings.VM })
+	log := logger.For(g.Log, logger.Members)
+	if !slices.Contains(vms, g.ownVM()) && !g.Leaving.Load() {
+		err := g.putOnList(ctx)
+		log.Info("This daemon puts itself on the list of VMs.", "listed", len(vms), "err", err)
+	}
+	if !g.IsFirst() {
+		return vms, nil
+	}
+	for _, name := range g.roster.silent(others, g.Members.Live(), now) {
+		err := g.drivers.Retire(ctx, name)
+		log.Info("A silent daemon is taken off the list of VMs.", "vm", name, "err", err)
+	}
+	return vms, nil
+}
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -31,6 +31,8 @@
 	RetryLogRead      RetryReason = "log-read-failed"
 	RetryCoordinator  RetryReason = "coordinator-unreached"
 	RetryBudgetIsGone RetryReason = "retry-budget-spent"
+	RetryRejected     RetryReason = "upstream-full"
+	RetryMisplaced    RetryReason = "upstream-replaced"
 )
 
 // Event names a counter that is neither a refusal nor a retry.
@@ -60,7 +62,7 @@
 var retryReasons = []RetryReason{
 	RetryConnect, RetryStatus, RetryPrefill, RetryTransfer, RetryDecode,
 	RetryAppend, RetryCancel, RetryBorrow, RetryLogRead, RetryCoordinator,
-	RetryBudgetIsGone,
+	RetryBudgetIsGone, RetryRejected, RetryMisplaced,
 }
 
 var events = []Event{
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -46,6 +46,9 @@
 	ResumeMalformed    Code = "resume-malformed"
 	CallerGone         Code = "caller-gone"
 	ConcurrencyReached Code = "concurrency-reached"
+	PromptTooLarge     Code = "prompt-too-large"
+	PrefillFailed      Code = "prefill-failed"
+	StreamCut          Code = "stream-cut"
 )
 
 // Codes lists every code, for the counters.
@@ -57,6 +60,7 @@
 	OnceKeyExpired, OnceKeyReused, OnceRunning, OnceUnknown, OnceUnrecorded,
 	OnceNotKept,
 	ResumeUnknown, ResumeMalformed, CallerGone, ConcurrencyReached,
+	PromptTooLarge, PrefillFailed, StreamCut,
 }
 
 // Refusal is the error that tells a caller why a request has no answer.
--- a/version/folder/version.go
+++ b/version/folder/version.go
@@ -23,6 +23,10 @@
 	Publications map[identifier.PublicationID]Outcome `json:"publications"`
 	// Broken counts records that could not be read.
 	Broken int64 `json:"broken"`
+	// Routes carry pass-through requests.
+	Routes []parser.Route `json:"routes,omitempty"`
+	// Bounds apply to the callers of routes.
+	Bounds parser.CallerBounds `json:"bounds"`
 }
 
 // ObjectKey names one published object, such as "profile/costing".
--- a/version/parser/parser.go
+++ b/version/parser/parser.go
@@ -95,6 +95,9 @@
 	// Paths are prefixes of the paths served; for plain services.
 	Paths     []string   `json:"paths,omitempty"`
 	Upstreams []Upstream `json:"upstreams"`
+	// Engine describes the engines of a model service whose requests pass
+	// through unchanged; nil for others.
+	Engine *EngineProfile `json:"engine,omitempty"`
 }
 
 // Upstream is one engine or one server of a plain service.
@@ -115,6 +118,17 @@
 	Rate identifier.Tokens `json:"rate"`
 	// Burst is in tokens over all VMs together.
 	Burst identifier.Tokens `json:"burst"`
+	// Priority orders workspaces of pass-through requests; zero is the most
+	// urgent, and nil leaves the order to the route.
+	Priority *int `json:"priority,omitempty"`
+	// CallTokens is what a pass-through request without token counts takes
+	// from the limit.
+	CallTokens identifier.Tokens `json:"call-tokens,omitempty"`
+}
+
+// IsLimited reports whether the workspace has a rate at all.
+func (w Workspace) IsLimited() bool {
+	return w.Rate > 0
 }
 
 // Key lets its holder call for a workspace.
