--- a/connection/messenger/peerv1/peerv1connect/peer.connect.go
+++ b/connection/messenger/peerv1/peerv1connect/peer.connect.go
@@ -46,6 +46,14 @@
 	PeerReseatProcedure = "/peer.v1.Peer/Reseat"
 	// PeerSettleProcedure is the fully-qualified name of the Peer's Settle RPC.
 	PeerSettleProcedure = "/peer.v1.Peer/Settle"
+	// PeerTakeProcedure is the fully-qualified name of the Peer's Take RPC.
+	PeerTakeProcedure = "/peer.v1.Peer/Take"
+	// PeerGiveBackProcedure is the fully-qualified name of the Peer's GiveBack RPC.
+	PeerGiveBackProcedure = "/peer.v1.Peer/GiveBack"
+	// PeerPlaceProcedure is the fully-qualified name of the Peer's Place RPC.
+	PeerPlaceProcedure = "/peer.v1.Peer/Place"
+	// PeerReportPlacementsProcedure is the fully-qualified name of the Peer's ReportPlacements RPC.
+	PeerReportPlacementsProcedure = "/peer.v1.Peer/ReportPlacements"
 	// PeerFetchConfigProcedure is the fully-qualified name of the Peer's FetchConfig RPC.
 	PeerFetchConfigProcedure = "/peer.v1.Peer/FetchConfig"
 )
@@ -65,6 +73,14 @@
 	Reseat(context.Context, *connect.Request[peerv1.ReseatRequest]) (*connect.Response[peerv1.AcquireResponse], error)
 	// Settle tells what became of plans. A repeat changes nothing.
 	Settle(context.Context, *connect.Request[peerv1.SettleRequest]) (*connect.Response[peerv1.SettleResponse], error)
+	// Take takes tokens of a workspace at the daemon that holds its limit.
+	Take(context.Context, *connect.Request[peerv1.TakeRequest]) (*connect.Response[peerv1.TakeResponse], error)
+	// GiveBack returns tokens of requests that did not run.
+	GiveBack(context.Context, *connect.Request[peerv1.GiveBackRequest]) (*connect.Response[peerv1.GiveBackResponse], error)
+	// Place waits for a pair of engines at the daemon that places a service.
+	Place(context.Context, *connect.Request[peerv1.PlaceRequest]) (*connect.Response[peerv1.PlaceResponse], error)
+	// ReportPlacements tells how far placements have come.
+	ReportPlacements(context.Context, *connect.Request[peerv1.ReportPlacementsRequest]) (*connect.Response[peerv1.ReportPlacementsResponse], error)
 	// FetchConfig returns a snapshot and the epoch that it goes with.
 	FetchConfig(context.Context, *connect.Request[peerv1.FetchConfigRequest]) (*connect.Response[peerv1.FetchConfigResponse], error)
 }
@@ -116,6 +132,30 @@
 			connect.WithSchema(peerMethods.ByName("Settle")),
 			connect.WithClientOptions(opts...),
 		),
+		take: connect.NewClient[peerv1.TakeRequest, peerv1.TakeResponse](
+			httpClient,
+			baseURL+PeerTakeProcedure,
+			connect.WithSchema(peerMethods.ByName("Take")),
+			connect.WithClientOptions(opts...),
+		),
+		giveBack: connect.NewClient[peerv1.GiveBackRequest, peerv1.GiveBackResponse](
+			httpClient,
+			baseURL+PeerGiveBackProcedure,
+			connect.WithSchema(peerMethods.ByName("GiveBack")),
+			connect.WithClientOptions(opts...),
+		),
+		place: connect.NewClient[peerv1.PlaceRequest, peerv1.PlaceResponse](
+			httpClient,
+			baseURL+PeerPlaceProcedure,
+			connect.WithSchema(peerMethods.ByName("Place")),
+			connect.WithClientOptions(opts...),
+		),
+		reportPlacements: connect.NewClient[peerv1.ReportPlacementsRequest, peerv1.ReportPlacementsResponse](
+			httpClient,
+			baseURL+PeerReportPlacementsProcedure,
+			connect.WithSchema(peerMethods.ByName("ReportPlacements")),
+			connect.WithClientOptions(opts...),
+		),
 		fetchConfig: connect.NewClient[peerv1.FetchConfigRequest, peerv1.FetchConfigResponse](
 			httpClient,
 			baseURL+PeerFetchConfigProcedure,
@@ -127,13 +167,17 @@
 
 // peerClient implements PeerClient.
 type peerClient struct {
-	heartbeat   *connect.Client[peerv1.HeartbeatRequest, peerv1.HeartbeatResponse]
-	borrow      *connect.Client[peerv1.BorrowRequest, peerv1.BorrowResponse]
-	journal     *connect.Client[peerv1.JournalRequest, peerv1.JournalResponse]
-	acquire     *connect.Client[peerv1.AcquireRequest, peerv1.AcquireResponse]
-	reseat      *connect.Client[peerv1.ReseatRequest, peerv1.AcquireResponse]
-	settle      *connect.Client[peerv1.SettleRequest, peerv1.SettleResponse]
-	fetchConfig *connect.Client[peerv1.FetchConfigRequest, peerv1.FetchConfigResponse]
+	heartbeat        *connect.Client[peerv1.HeartbeatRequest, peerv1.HeartbeatResponse]
+	borrow           *connect.Client[peerv1.BorrowRequest, peerv1.BorrowResponse]
+	journal          *connect.Client[peerv1.JournalRequest, peerv1.JournalResponse]
+	acquire          *connect.Client[peerv1.AcquireRequest, peerv1.AcquireResponse]
+	reseat           *connect.Client[peerv1.ReseatRequest, peerv1.AcquireResponse]
+	settle           *connect.Client[peerv1.SettleRequest, peerv1.SettleResponse]
+	take             *connect.Client[peerv1.TakeRequest, peerv1.TakeResponse]
+	giveBack         *connect.Client[peerv1.GiveBackRequest, peerv1.GiveBackResponse]
+	place            *connect.Client[peerv1.PlaceRequest, peerv1.PlaceResponse]
+	reportPlacements *connect.Client[peerv1.ReportPlacementsRequest, peerv1.ReportPlacementsResponse]
+	fetchConfig      *connect.Client[peerv1.FetchConfigRequest, peerv1.FetchConfigResponse]
 }
 
 // Heartbeat calls peer.v1.Peer.Heartbeat.
@@ -166,6 +210,26 @@
 	return c.settle.CallUnary(ctx, req)
 }
 
+// Take calls peer.v1.Peer.Take.
+func (c *peerClient) Take(ctx context.Context, req *connect.Request[peerv1.TakeRequest]) (*connect.Response[peerv1.TakeResponse], error) {
+	return c.take.CallUnary(ctx, req)
+}
+
+// GiveBack calls peer.v1.Peer.GiveBack.
+func (c *peerClient) GiveBack(ctx context.Context, req *connect.Request[peerv1.GiveBackRequest]) (*connect.Response[peerv1.GiveBackResponse], error) {
+	return c.giveBack.CallUnary(ctx, req)
+}
+
+// Place calls peer.v1.Peer.Place.
+func (c *peerClient) Place(ctx context.Context, req *connect.Request[peerv1.PlaceRequest]) (*connect.Response[peerv1.PlaceResponse], error) {
+	return c.place.CallUnary(ctx, req)
+}
+
+// ReportPlacements calls peer.v1.Peer.ReportPlacements.
+func (c *peerClient) ReportPlacements(ctx context.Context, req *connect.Request[peerv1.ReportPlacementsRequest]) (*connect.Response[peerv1.ReportPlacementsResponse], error) {
+	return c.reportPlacements.CallUnary(ctx, req)
+}
+
 // FetchConfig calls peer.v1.Peer.FetchConfig.
 func (c *peerClient) FetchConfig(ctx context.Context, req *connect.Request[peerv1.FetchConfigRequest]) (*connect.Response[peerv1.FetchConfigResponse], error) {
 	return c.fetchConfig.CallUnary(ctx, req)
@@ -186,6 +250,14 @@
 	Reseat(context.Context, *connect.Request[peerv1.ReseatRequest]) (*connect.Response[peerv1.AcquireResponse], error)
 	// Settle tells what became of plans. A repeat changes nothing.
 	Settle(context.Context, *connect.Request[peerv1.SettleRequest]) (*connect.Response[peerv1.SettleResponse], error)
+	// Take takes tokens of a workspace at the daemon that holds its limit.
+	Take(context.Context, *connect.Request[peerv1.TakeRequest]) (*connect.Response[peerv1.TakeResponse], error)
+	// GiveBack returns tokens of requests that did not run.
+	GiveBack(context.Context, *connect.Request[peerv1.GiveBackRequest]) (*connect.Response[peerv1.GiveBackResponse], error)
+	// Place waits for a pair of engines at the daemon that places a service.
+	Place(context.Context, *connect.Request[peerv1.PlaceRequest]) (*connect.Response[peerv1.PlaceResponse], error)
+	// ReportPlacements tells how far placements have come.
+	ReportPlacements(context.Context, *connect.Request[peerv1.ReportPlacementsRequest]) (*connect.Response[peerv1.ReportPlacementsResponse], error)
 	// FetchConfig returns a snapshot and the epoch that it goes with.
 	FetchConfig(context.Context, *connect.Request[peerv1.FetchConfigRequest]) (*connect.Response[peerv1.FetchConfigResponse], error)
 }
@@ -233,6 +305,30 @@
 		connect.WithSchema(peerMethods.ByName("Settle")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerTakeHandler := connect.NewUnaryHandler(
+		PeerTakeProcedure,
+		svc.Take,
+		connect.WithSchema(peerMethods.ByName("Take")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerGiveBackHandler := connect.NewUnaryHandler(
+		PeerGiveBackProcedure,
+		svc.GiveBack,
+		connect.WithSchema(peerMethods.ByName("GiveBack")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerPlaceHandler := connect.NewUnaryHandler(
+		PeerPlaceProcedure,
+		svc.Place,
+		connect.WithSchema(peerMethods.ByName("Place")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerReportPlacementsHandler := connect.NewUnaryHandler(
+		PeerReportPlacementsProcedure,
+		svc.ReportPlacements,
+		connect.WithSchema(peerMethods.ByName("ReportPlacements")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerFetchConfigHandler := connect.NewUnaryHandler(
 		PeerFetchConfigProcedure,
 		svc.FetchConfig,
@@ -253,6 +349,14 @@
 			peerReseatHandler.ServeHTTP(w, r)
 		case PeerSettleProcedure:
 			peerSettleHandler.ServeHTTP(w, r)
+		case PeerTakeProcedure:
+			peerTakeHandler.ServeHTTP(w, r)
+		case PeerGiveBackProcedure:
+			peerGiveBackHandler.ServeHTTP(w, r)
+		case PeerPlaceProcedure:
+			peerPlaceHandler.ServeHTTP(w, r)
+		case PeerReportPlacementsProcedure:
+			peerReportPlacementsHandler.ServeHTTP(w, r)
 		case PeerFetchConfigProcedure:
 			peerFetchConfigHandler.ServeHTTP(w, r)
 		default:
@@ -288,6 +392,22 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Settle is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Take(context.Context, *connect.Request[peerv1.TakeRequest]) (*connect.Response[peerv1.TakeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Take is not implemented"))
+}
+
+func (UnimplementedPeerHandler) GiveBack(context.Context, *connect.Request[peerv1.GiveBackRequest]) (*connect.Response[peerv1.GiveBackResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.GiveBack is not implemented"))
+}
+
+func (UnimplementedPeerHandler) Place(context.Context, *connect.Request[peerv1.PlaceRequest]) (*connect.Response[peerv1.PlaceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Place is not implemented"))
+}
+
+func (UnimplementedPeerHandler) ReportPlacements(context.Context, *connect.Request[peerv1.ReportPlacementsRequest]) (*connect.Response[peerv1.ReportPlacementsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.ReportPlacements is not implemented"))
+}
+
 func (UnimplementedPeerHandler) FetchConfig(context.Context, *connect.Request[peerv1.FetchConfigRequest]) (*connect.Response[peerv1.FetchConfigResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.FetchConfig is not implemented"))
 }
--- a/connection/messenger/server.go
+++ b/connection/messenger/server.go
@@ -11,8 +11,11 @@
 	"sassafraspass.dev/sassafraspass/connection/messenger/peerv1/peerv1connect"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/refuser"
 	"sassafraspass.dev/sassafraspass/request/coordinator"
 	"sassafraspass.dev/sassafraspass/request/limiter"
+	"sassafraspass.dev/sassafraspass/request/placer"
+	"sassafraspass.dev/sassafraspass/request/taker"
 	"sassafraspass.dev/sassafraspass/version/folder"
 )
 
@@ -26,6 +29,13 @@
 	Journalled func(journal Journal)
 	// Coordinator gives out engines.
 	Coordinator *coordinator.Coordinator
+	// Take answers a daemon that takes tokens, and GivenBack takes back what
+	// was not used.
+	Take      func(ctx context.Context, ask taker.Ask) taker.Answer
+	GivenBack func(holder identifier.Incarnation, numbers []int64)
+	// Place gives out a pair of engines, and Reported takes a step of it.
+	Place    func(ctx context.Context, service identifier.ServiceName, ask placer.Ask) (placer.Grant, *refuser.Refusal)
+	Reported func(service identifier.ServiceName, report placer.Report)
 	// Config returns what this daemon knows above a version.
 	Config func(above identifier.Offset) Config
 }
--- /dev/null
+++ b/connection/messenger/takes.go
@@ -0,0 +1,168 @@
+package messenger
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"sassafraspass.dev/sassafraspass/annotator"
+	"sassafraspass.dev/sassafraspass/connection/messenger/peerv1"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/request/placer"
+	"sassafraspass.dev/sassafraspass/request/taker"
+)
+
+// Take asks the home of a workspace for tokens.
+func (c *Client) Take(ctx context.Context, home identifier.Address, ask taker.Ask) (answer taker.Answer, err error) {
+	defer annotator.Annotate(&err, "take tokens at %s", home)
+	resp, err := c.peer(home).Take(ctx, connect.NewRequest(&peerv1.TakeRequest{
+		Incarnation: string(ask.Key.Holder),
+		Number:      ask.Key.Number,
+		Workspace:   string(ask.Workspace),
+		Tokens:      int64(ask.Tokens),
+		WaitMs:      ask.Wait.Milliseconds(),
+		Deputy:      ask.Deputy,
+	}))
+	if err != nil {
+		return answer, err
+	}
+	return taker.Answer{
+		Granted:    resp.Msg.GetGranted(),
+		Home:       resp.Msg.GetHome(),
+		Reason:     resp.Msg.GetRefusalMessage(),
+		RetryAfter: time.Duration(resp.Msg.GetRetryAfterMs()) * time.Millisecond,
+	}, nil
+}
+
+// GiveBack tells a home which takes were not used.
+func (c *Client) GiveBack(ctx context.Context, home identifier.Address, holder identifier.Incarnation, numbers []int64) (err error) {
+	defer annotator.Annotate(&err, "give tokens back to %s", home)
+	_, err = c.peer(home).GiveBack(ctx, connect.NewRequest(&peerv1.GiveBackRequest{Incarnation: string(holder), Numbers: numbers}))
+	return err
+}
+
+// Place asks the daemon that places a service for a pair of engines.
+func (c *Client) Place(ctx context.Context, address identifier.Address, service identifier.ServiceName, ask placer.Ask) (grant placer.Grant, refusal *refuser.Refusal, err error) {
+	defer annotator.Annotate(&err, "place at %s", address)
+	resp, err := c.peer(address).Place(ctx, connect.NewRequest(&peerv1.PlaceRequest{
+		Incarnation:     string(ask.Key.Holder),
+		Number:          ask.Key.Number,
+		Service:         string(service),
+		PromptTokens:    int64(ask.Prompt),
+		MaxOutputTokens: int64(ask.MaxOutput),
+		HintTokens:      int64(ask.Hint),
+		Priority:        int32(ask.Priority),
+		OnTimeMs:        ask.OnTime.Milliseconds(),
+		PatienceMs:      ask.Patience.Milliseconds(),
+		Avoid:           toStrings(ask.Avoid),
+	}))
+	if err != nil {
+		return grant, nil, err
+	}
+	msg := resp.Msg
+	if msg.GetRefusalCode() != "" {
+		refusal = refuser.New(int(msg.GetRefusalStatus()), refuser.Code(msg.GetRefusalCode()), "%s", msg.GetRefusalMessage()).
+			After(time.Duration(msg.GetRefusalRetryAfterMs()) * time.Millisecond)
+		return grant, refusal, nil
+	}
+	return placer.Grant{
+		Prefill: identifier.UpstreamName(msg.GetPrefill()),
+		Decode:  identifier.UpstreamName(msg.GetDecode()),
+		Waited:  time.Duration(msg.GetWaitedMs()) * time.Millisecond,
+		Fill:    msg.GetFill(),
+	}, nil, nil
+}
+
+// ReportPlacements tells the daemon that placed requests how far they are.
+func (c *Client) ReportPlacements(ctx context.Context, address identifier.Address, holder identifier.Incarnation, reports []ServiceReport) (err error) {
+	defer annotator.Annotate(&err, "report placements to %s", address)
+	msg := &peerv1.ReportPlacementsRequest{Incarnation: string(holder)}
+	for _, r := range reports {
+		msg.Reports = append(msg.Reports, &peerv1.PlacementReport{
+			Service:    string(r.Service),
+			Number:     r.Report.Key.Number,
+			Step:       string(r.Report.Step),
+			TookUs:     r.Report.Took.Microseconds(),
+			MadeTokens: int64(r.Report.Made),
+			AgeUs:      r.Age.Microseconds(),
+		})
+	}
+	_, err = c.peer(address).ReportPlacements(ctx, connect.NewRequest(msg))
+	return err
+}
+
+// ServiceReport is a step of a placement of a service, taken some time ago.
+type ServiceReport struct {
+	Service identifier.ServiceName
+	Report  placer.Report
+	Age     time.Duration
+}
+
+// Take answers peer.v1.Peer.Take.
+func (r *rpc) Take(ctx context.Context, req *connect.Request[peerv1.TakeRequest]) (*connect.Response[peerv1.TakeResponse], error) {
+	msg := req.Msg
+	answer := r.server.Take(ctx, taker.Ask{
+		Key:       taker.Key{Holder: identifier.Incarnation(msg.GetIncarnation()), Number: msg.GetNumber()},
+		Workspace: identifier.WorkspaceName(msg.GetWorkspace()),
+		Tokens:    identifier.Tokens(msg.GetTokens()),
+		Wait:      time.Duration(msg.GetWaitMs()) * time.Millisecond,
+		Deputy:    msg.GetDeputy(),
+	})
+	return connect.NewResponse(&peerv1.TakeResponse{
+		Granted:        answer.Granted,
+		Home:           answer.Home,
+		RefusalMessage: answer.Reason,
+		RetryAfterMs:   answer.RetryAfter.Milliseconds(),
+	}), nil
+}
+
+// GiveBack answers peer.v1.Peer.GiveBack.
+func (r *rpc) GiveBack(_ context.Context, req *connect.Request[peerv1.GiveBackRequest]) (*connect.Response[peerv1.GiveBackResponse], error) {
+	r.server.GivenBack(identifier.Incarnation(req.Msg.GetIncarnation()), req.Msg.GetNumbers())
+	return connect.NewResponse(&peerv1.GiveBackResponse{}), nil
+}
+
+// Place answers peer.v1.Peer.Place.
+func (r *rpc) Place(ctx context.Context, req *connect.Request[peerv1.PlaceRequest]) (*connect.Response[peerv1.PlaceResponse], error) {
+	msg := req.Msg
+	grant, refusal := r.server.Place(ctx, identifier.ServiceName(msg.GetService()), placer.Ask{
+		Key:       placer.Key{Holder: identifier.Incarnation(msg.GetIncarnation()), Number: msg.GetNumber()},
+		Prompt:    identifier.Tokens(msg.GetPromptTokens()),
+		MaxOutput: identifier.Tokens(msg.GetMaxOutputTokens()),
+		Hint:      identifier.Tokens(msg.GetHintTokens()),
+		Priority:  int(msg.GetPriority()),
+		OnTime:    time.Duration(msg.GetOnTimeMs()) * time.Millisecond,
+		Patience:  time.Duration(msg.GetPatienceMs()) * time.Millisecond,
+		Avoid:     fromStrings[identifier.UpstreamName](msg.GetAvoid()),
+	})
+	if refusal != nil {
+		return connect.NewResponse(&peerv1.PlaceResponse{
+			RefusalCode:         string(refusal.Code),
+			RefusalStatus:       int32(refusal.Status),
+			RefusalMessage:      refusal.Message,
+			RefusalRetryAfterMs: refusal.RetryAfter.Milliseconds(),
+		}), nil
+	}
+	return connect.NewResponse(&peerv1.PlaceResponse{
+		Prefill:  string(grant.Prefill),
+		Decode:   string(grant.Decode),
+		WaitedMs: grant.Waited.Milliseconds(),
+		Fill:     grant.Fill,
+	}), nil
+}
+
+// ReportPlacements answers peer.v1.Peer.ReportPlacements.
+func (r *rpc) ReportPlacements(_ context.Context, req *connect.Request[peerv1.ReportPlacementsRequest]) (*connect.Response[peerv1.ReportPlacementsResponse], error) {
+	holder := identifier.Incarnation(req.Msg.GetIncarnation())
+	for _, msg := range req.Msg.GetReports() {
+		r.server.Reported(identifier.ServiceName(msg.GetService()), placer.Report{
+			Key:  placer.Key{Holder: holder, Number: msg.GetNumber()},
+			Step: placer.Step(msg.GetStep()),
+			Took: time.Duration(msg.GetTookUs()) * time.Microsecond,
+			Made: identifier.Tokens(msg.GetMadeTokens()),
+		})
+	}
+	return connect.NewResponse(&peerv1.ReportPlacementsResponse{}), nil
+}
--- a/process/allotter/allotter.go
+++ b/process/allotter/allotter.go
@@ -49,6 +49,10 @@
 	Append func(ctx context.Context, stream identifier.StreamName, data []byte) (identifier.Offset, error)
 	// Removed is told that the epoch left this daemon out against its will.
 	Removed func()
+	// SilenceProves is the silence after which a member counts as gone; zero
+	// for never. It needs members that stop admitting sooner by themselves
+	// when they do not hear a majority of the epoch.
+	SilenceProves time.Duration
 	// Rejoins says that a daemon that was left out joins the next epoch
 	// instead of telling Removed. Its shares end with the epoch without it.
 	Rejoins bool
@@ -184,14 +188,23 @@
 	if member.Incarnation == a.Self.Incarnation {
 		return a.Limiter.IsDrained()
 	}
-	return a.Members.Proof(member) != heartbeater.ProofNone
+	return a.proof(member) != heartbeater.ProofNone
+}
+
+func (a *Allotter) proof(member epocher.Member) heartbeater.GoneProof {
+	proof := a.Members.Proof(member)
+	isSilent := a.SilenceProves > 0 && member.Incarnation != a.Self.Incarnation && a.Members.SilentFor(member) > a.SilenceProves
+	if isSilent && (proof == heartbeater.ProofNone || proof == heartbeater.ProofUnlisted) {
+		return heartbeater.ProofSilent
+	}
+	return proof
 }
 
 func (a *Allotter) propose(ctx context.Context, epoch epocher.Epoch) (err error) {
 	defer annotator.Annotate(&err, "propose after epoch %d", epoch.Number)
 	proposal := epocher.Proposal{BasedOn: epoch.Number, Members: a.wanted}
 	for _, member := range epoch.Members {
-		proof := a.Members.Proof(member)
+		proof := a.proof(member)
 		if proof == heartbeater.ProofNone {
 			continue
 		}
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -63,6 +63,11 @@
 	RetryRatio  float64       `json:"retry-ratio"`
 	RetryExtra  int           `json:"retry-extra"`
 	RetryWindow time.Duration `json:"retry-window"`
+	// LimitOvershoot and LimitSlack are what the deployment tolerates beyond a
+	// workspace's limit in any LimitWindow: a part of it, and tokens.
+	LimitOvershoot float64       `json:"limit-overshoot"`
+	LimitSlack     float64       `json:"limit-slack-tokens"`
+	LimitWindow    time.Duration `json:"limit-window"`
 	// Lease is the least time between orders of two holders.
 	Lease time.Duration `json:"lease"`
 	// LogLines bounds the log, in lines a second.
@@ -153,6 +158,10 @@
 		return doc.Fault("/gateway/grace", "must be at least %s", time.Second)
 	case g.RetryRatio < 0 || g.RetryExtra < 0:
 		return doc.Fault("/gateway/retry-ratio", "must not be negative")
+	case g.LimitOvershoot < 0 || g.LimitSlack < 0:
+		return doc.Fault("/gateway/limit-overshoot", "must not be negative")
+	case g.LimitWindow < time.Second:
+		return doc.Fault("/gateway/limit-window", "must be at least %s", time.Second)
 	case g.RetryWindow < time.Second:
 		return doc.Fault("/gateway/retry-window", "must be at least %s", time.Second)
 	}
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -90,6 +90,10 @@
 	// IsPrepared reports what the daemon needs beside a version and shares.
 	IsPrepared func() bool
 
+	// WholeLimits says that one member of the epoch holds the whole limit of a
+	// workspace, instead of a share at each.
+	WholeLimits bool
+
 	VersionRead atomic.Bool
 	Leaving     atomic.Bool
 	ready       atomic.Bool
@@ -229,13 +233,22 @@
 
 // enterEpoch begins an epoch in the limiter.
 func (f *Fleet) enterEpoch(epoch epocher.Epoch) {
-	base := identifier.Parts(0)
-	if epoch.Has(f.Identity.Self.Incarnation) {
-		base = epoch.BaseShare()
+	isMember := epoch.Has(f.Identity.Self.Incarnation)
+	switch {
+	case !isMember:
+		f.Limiter.EnterEpoch(epoch.Number, 0)
+	case f.WholeLimits:
+		f.Limiter.EnterEpochWith(epoch.Number, func(workspace identifier.WorkspaceName) identifier.Parts {
+			if epoch.Homes(workspace)[0].Incarnation == f.Identity.Self.Incarnation {
+				return identifier.WholeParts
+			}
+			return 0
+		})
+	default:
+		f.Limiter.EnterEpoch(epoch.Number, epoch.BaseShare())
 	}
-	f.Limiter.EnterEpoch(epoch.Number, base)
 	f.Heartbeat.Kick()
-	f.Log.Info("An epoch began.", "epoch", epoch.Number, "members", len(epoch.Members), "share-ppm", base)
+	f.Log.Info("An epoch began.", "epoch", epoch.Number, "members", len(epoch.Members), "member", isMember, "whole-limits", f.WholeLimits)
 }
 
 // IsReady reports whether this daemon has known its configuration and held
--- a/process/fleet/members.go
+++ b/process/fleet/members.go
@@ -110,6 +110,19 @@
 	return members
 }
 
+// HearsMajority reports whether a majority of the epoch's members, this daemon
+// included, was heard within a time.
+func (f *Fleet) HearsMajority(within time.Duration) bool {
+	members := f.Epocher.Current().Members
+	heard := 0
+	for _, member := range members {
+		if member.Incarnation == f.Identity.Self.Incarnation || f.Members.SilentFor(member) <= within {
+			heard++
+		}
+	}
+	return heard*2 > len(members)
+}
+
 func (f *Fleet) watched() []epocher.Member {
 	return append(f.Epocher.Current().Members, f.Watched()...)
 }
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -15,6 +15,7 @@
 	"sassafraspass.dev/sassafraspass/process/repeater"
 	"sassafraspass.dev/sassafraspass/version/epocher"
 	"sassafraspass.dev/sassafraspass/version/folder"
+	"sassafraspass.dev/sassafraspass/version/parser"
 	"sassafraspass.dev/sassafraspass/version/router"
 )
 
@@ -119,13 +120,24 @@
 // installed puts a new version in force.
 func (g *Gateway) installed(version *folder.Version) {
 	g.routes.Store(router.New(version.Routes))
-	g.Limiter.Configure(version.Workspaces)
+	g.Limiter.Configure(g.widened(version.Workspaces))
 	g.upstreamsChanged()
 	g.VersionRead.Store(true)
 	g.Heartbeat.Kick()
 	logger.For(g.Log, logger.Config).Info("A version is in force.", "version", version.Number, "routes", len(version.Routes), "workspaces", len(version.Workspaces))
 }
 
+// widened returns the workspaces with the part of the deployment's tolerance in
+// their bursts that callers may use.
+func (g *Gateway) widened(workspaces map[identifier.WorkspaceName]parser.Workspace) map[identifier.WorkspaceName]parser.Workspace {
+	wide := make(map[identifier.WorkspaceName]parser.Workspace, len(workspaces))
+	for name, workspace := range workspaces {
+		workspace.Burst += tolerance(*g.settings.Gateway, workspace, burstShare)
+		wide[name] = workspace
+	}
+	return wide
+}
+
 // followEpochs reads the epochs until the context ends.
 func (g *Gateway) followEpochs(ctx context.Context) error {
 	t := g.EpochTailer()
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -34,12 +34,15 @@
 	"sassafraspass.dev/sassafraspass/process/logger"
 	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/request/broker"
 	"sassafraspass.dev/sassafraspass/request/budgeter"
 	"sassafraspass.dev/sassafraspass/request/carrier"
 	"sassafraspass.dev/sassafraspass/request/ejector"
 	"sassafraspass.dev/sassafraspass/request/placer"
+	"sassafraspass.dev/sassafraspass/request/taker"
 	"sassafraspass.dev/sassafraspass/version/epocher"
 	"sassafraspass.dev/sassafraspass/version/folder"
+	"sassafraspass.dev/sassafraspass/version/parser"
 	"sassafraspass.dev/sassafraspass/version/router"
 )
 
@@ -54,6 +57,16 @@
 	// memoryShare is the part of the VM's memory that the heap may fill.
 	memoryShare   = 0.6
 	pruneInterval = 500 * time.Millisecond
+	// majorityWithin is how lately a majority must be heard for a daemon to
+	// admit requests, and silenceProves the longer silence after which the
+	// others give its limits to another one.
+	majorityWithin = 1600 * time.Millisecond
+	silenceProves  = 2600 * time.Millisecond
+	// burstShare is the part of the deployment's tolerance that widens the
+	// bursts, and deputyShare the part for when a limit's holder is out of
+	// reach. The rest covers what both cannot see.
+	burstShare  = 0.5
+	deputyShare = 0.35
 )
 
 // Handler answers HTTP requests.
@@ -119,6 +132,8 @@
 
 	registrar *registrar.Registrar
 	placer    *placer.Placer
+	broker    *broker.Broker
+	taker     *taker.Taker
 	exchanger *exchanger.Exchanger
 	ejector   *ejector.Ejector
 	carrier   *carrier.Carrier
@@ -218,10 +233,12 @@
 func (g *Gateway) wire(tools fleet.Tools) (closers []func()) {
 	f, closeFleet := fleet.New(g.identity(), g.fleetDrivers(), tools)
 	g.Fleet = f
+	f.WholeLimits = true
 	f.Allotter.Rejoins = true
+	f.Allotter.SilenceProves = silenceProves
+	f.Limiter.IsCurrent = func() bool { return f.Confirmer.IsCurrent() && f.HearsMajority(majorityWithin) }
 	f.IsPrepared = func() bool { return g.registrar.IsWhole() }
 	f.Extend = g.extendBeat
-	f.Learn = g.learn
 	f.Follower.Installed = g.installed
 	g.registrar = registrar.New(tools.Clock)
 	g.registrar.Changed = g.upstreamsChanged
@@ -230,15 +247,17 @@
 	x.IsOwn = g.drivers.IsOwnAnswer
 	g.exchanger = x
 	g.ejector = ejector.New(tools.Clock, g.settings.Zone)
+	g.wireTaker(tools)
+	g.wireBroker(tools)
 	g.carrier = &carrier.Carrier{
 		Version:   f.Follower.Version,
 		Routes:    g.routes.Load,
 		Registrar: g.registrar,
 		Admitter:  f.Admitter,
-		Limiter:   f.Limiter,
+		Take:      g.taker.Take,
 		Budget:    g.budget(tools.Clock),
 		Ejector:   g.ejector,
-		Places:    carrier.Places{Place: g.place, Report: g.report, NextKey: g.nextKey},
+		Places:    carrier.Places{Place: g.broker.Acquire, Report: g.broker.Reported, NextKey: g.nextKey},
 		Exchanger: x,
 		Protocol:  g.drivers.Protocol,
 		Clock:     tools.Clock,
@@ -249,6 +268,35 @@
 	return []func(){closeFleet, closeExchanger}
 }
 
+func (g *Gateway) wireTaker(tools fleet.Tools) {
+	g.taker = taker.New()
+	g.taker.Self = g.Identity.Self.Incarnation
+	g.taker.Limiter = g.Limiter
+	g.taker.Homes = func(name identifier.WorkspaceName) []epocher.Member { return g.Epocher.Current().Homes(name) }
+	g.taker.Ask = g.Messages.Take
+	g.taker.GiveBack = g.Messages.GiveBack
+	g.taker.Workspace = func(name identifier.WorkspaceName) (parser.Workspace, bool) {
+		workspace, ok := g.Follower.Version().Workspaces[name]
+		return workspace, ok
+	}
+	g.taker.Tolerance = func(w parser.Workspace) identifier.Tokens { return tolerance(*g.settings.Gateway, w, deputyShare) }
+	g.taker.Window = g.settings.Gateway.LimitWindow
+	g.taker.Clock = tools.Clock
+	g.taker.Log = logger.For(tools.Log, logger.Shares)
+}
+
+func (g *Gateway) wireBroker(tools fleet.Tools) {
+	g.broker = broker.New()
+	g.broker.Self = g.Identity.Self.Incarnation
+	g.broker.Placer = g.placer
+	g.broker.Candidates = g.candidates
+	g.broker.Place = g.Messages.Place
+	g.broker.Report = g.Messages.ReportPlacements
+	g.broker.Clock = tools.Clock
+	g.broker.Log = logger.For(tools.Log, logger.Upstream)
+	g.broker.Meter = tools.Meter
+}
+
 func (g *Gateway) budget(clock clockwork.Clock) *budgeter.Budgeter {
 	b := budgeter.New(clock, budgeter.Bounds{
 		Ratio:  g.settings.Gateway.RetryRatio,
@@ -283,6 +331,13 @@
 	}
 }
 
+// tolerance returns a part of the tokens that the deployment tolerates beyond a
+// workspace's rate and burst within its window.
+func tolerance(s configurer.Gateway, w parser.Workspace, share float64) identifier.Tokens {
+	allowed := float64(w.Rate)*s.LimitWindow.Seconds() + float64(w.Burst)
+	return identifier.Tokens(share * (s.LimitOvershoot*allowed + s.LimitSlack))
+}
+
 // maxBody returns the largest body that a caller may send, in bytes.
 func (g *Gateway) maxBody() int64 {
 	stated := g.Follower.Version().Bounds.MaxBodyBytes
@@ -340,6 +395,7 @@
 		g.passUpstreams,
 		g.watchMembers,
 		g.placer.Run,
+		g.broker.Run,
 		g.pruneConnections,
 	)
 }
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -1,29 +1,42 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"sassafraspass.dev/sassafraspass/connection/messenger"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/heartbeater"
 	"sassafraspass.dev/sassafraspass/process/repeater"
-	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/request/broker"
 	"sassafraspass.dev/sassafraspass/request/limiter"
 	"sassafraspass.dev/sassafraspass/request/placer"
 )
 
-// maxAddresses bounds the addresses in one answer of the directory.
-const maxAddresses = 64
+const (
+	// maxAddresses bounds the addresses in one answer of the directory.
+	maxAddresses = 64
+	// quietAfter is the silence after which a daemon that does not answer is
+	// not waited for.
+	quietAfter = 1300 * time.Millisecond
+)
 
 func (g *Gateway) peerHandler() http.Handler {
 	server := &messenger.Server{
 		Heard:      g.Heard,
 		Lend:       g.Limiter.Lend,
 		Journalled: func(messenger.Journal) {},
+		Take:       g.taker.Serve,
+		GivenBack:  g.taker.Returned,
+		Place:      g.placer.Place,
+		Reported:   g.placer.Report,
 		Config:     g.Fetcher.Config,
 	}
 	mux := http.NewServeMux()
@@ -31,15 +44,80 @@
 	return mux
 }
 
-func (g *Gateway) extendBeat(*heartbeater.Beat) {}
+// extendBeat adds what runs at engines that another daemon had placed.
+func (g *Gateway) extendBeat(beat *heartbeater.Beat) {
+	for name, load := range g.broker.Loads() {
+		beat.Loads = append(beat.Loads, heartbeater.EngineLoad{Upstream: name, Running: load.Running, Tokens: load.Tokens})
+	}
+}
 
-func (g *Gateway) learn(heartbeater.Beat) {}
+// claims gathers what the daemons have running that another one had placed.
+func (g *Gateway) claims() (claims []placer.Claim) {
+	for name, load := range g.broker.Loads() {
+		claims = append(claims, placer.Claim{Holder: g.Identity.Self.Incarnation, Engine: name, Tokens: load.Tokens})
+	}
+	for _, member := range g.Members.Live() {
+		for _, load := range member.Loads {
+			claims = append(claims, placer.Claim{Holder: member.Incarnation, Engine: load.Upstream, Tokens: load.Tokens})
+		}
+	}
+	return claims
+}
+
+// candidates ranks the daemons that may place a service's requests: the live
+// ones that serve, by a hash of their VM with the service.
+func (g *Gateway) candidates(service identifier.ServiceName) []broker.Candidate {
+	type ranked struct {
+		broker.Candidate
+		weight uint64
+	}
+	var all []ranked
+	if g.isServing() {
+		all = append(all, ranked{weight: placeWeight(service, g.settings.VM)})
+	}
+	for _, member := range g.Members.Live() {
+		if member.State != heartbeater.StateServing {
+			continue
+		}
+		incarnation := member.Incarnation
+		all = append(all, ranked{
+			Candidate: broker.Candidate{Address: member.Peer, IsSilent: func() bool { return g.isQuiet(incarnation) }},
+			weight:    placeWeight(service, member.VM),
+		})
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
+	candidates := make([]broker.Candidate, 0, len(all)+1)
+	for _, one := range all {
+		candidates = append(candidates, one.Candidate)
+	}
+	if !g.isServing() {
+		// One that leaves still places for itself where no other is heard.
+		candidates = append(candidates, broker.Candidate{})
+	}
+	return candidates
+}
+
+func placeWeight(service identifier.ServiceName, vm identifier.VMName) uint64 {
+	return xxhash.Sum64String(string(service) + "/" + string(vm))
+}
+
+// isQuiet reports whether a daemon missed its last beat.
+func (g *Gateway) isQuiet(incarnation identifier.Incarnation) bool {
+	member, ok := g.Members.Find(incarnation)
+	return !ok || g.Clock.Since(member.HeardAt) > quietAfter
+}
 
 func (g *Gateway) watchMembers(ctx context.Context) error {
 	return g.WatchMembers(ctx, func(live []identifier.Incarnation) {
 		g.placer.KeepHolders(func(holder identifier.Incarnation) bool {
 			return holder == g.Identity.Self.Incarnation || slices.Contains(live, holder)
 		})
+		claims := g.claims()
+		for name, service := range g.Follower.Version().Services {
+			if service.Engine != nil {
+				g.placer.Claimed(name, claims)
+			}
+		}
 	})
 }
 
@@ -72,14 +150,6 @@
 	return placer.Key{Holder: g.Identity.Self.Incarnation, Number: g.placement.Add(1)}
 }
 
-func (g *Gateway) place(ctx context.Context, service identifier.ServiceName, ask placer.Ask) (placer.Grant, *refuser.Refusal) {
-	return g.placer.Place(ctx, service, ask)
-}
-
-func (g *Gateway) report(service identifier.ServiceName, report placer.Report) {
-	g.placer.Report(service, report)
-}
-
 // Status is what a daemon knows, for operators.
 type Status struct {
 	VM        identifier.VMName                          `json:"vm"`
--- a/process/heartbeater/members.go
+++ b/process/heartbeater/members.go
@@ -234,6 +234,9 @@
 	ProofReplaced GoneProof = "replaced-at-its-address"
 	ProofRefused  GoneProof = "connection-refused"
 	ProofUnlisted GoneProof = "missing-from-the-list"
+	// ProofSilent holds only where members stop admitting by themselves when
+	// they do not hear a majority.
+	ProofSilent GoneProof = "silent"
 )
 
 // Proof returns the proof that a member of an epoch is gone, or ProofNone.
@@ -294,6 +297,20 @@
 	return true
 }
 
+// SilentFor returns how long a member has not been heard, from when it was
+// first asked about.
+func (m *Members) SilentFor(member epocher.Member) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.notice(member)
+	heard, ok := m.members[member.Incarnation]
+	since := m.knownSince[member.Incarnation]
+	if ok && heard.HeardAt.After(since) {
+		since = heard.HeardAt
+	}
+	return m.clock.Now().Sub(since)
+}
+
 // Expire forgets the daemons that were not heard for long, unless they are
 // watched, and what belongs to them. It returns the forgotten ones.
 func (m *Members) Expire(watched []epocher.Member) (forgotten []identifier.Incarnation) {
--- a/request/carrier/carrier.go
+++ b/request/carrier/carrier.go
@@ -24,16 +24,14 @@
 	"sassafraspass.dev/sassafraspass/request/admitter"
 	"sassafraspass.dev/sassafraspass/request/budgeter"
 	"sassafraspass.dev/sassafraspass/request/ejector"
-	"sassafraspass.dev/sassafraspass/request/limiter"
 	"sassafraspass.dev/sassafraspass/request/placer"
+	"sassafraspass.dev/sassafraspass/request/taker"
 	"sassafraspass.dev/sassafraspass/version/folder"
 	"sassafraspass.dev/sassafraspass/version/parser"
 	"sassafraspass.dev/sassafraspass/version/router"
 )
 
 const (
-	// tokenWait is how long a request waits for tokens from other daemons.
-	tokenWait = 120 * time.Millisecond
 	// answerMargin is kept back from the time limit, so that a final answer
 	// still reaches the caller in time.
 	answerMargin = 15 * time.Millisecond
@@ -125,7 +123,8 @@
 	Routes    func() *router.Router
 	Registrar *registrar.Registrar
 	Admitter  *admitter.Admitter
-	Limiter   *limiter.Limiter
+	// Take takes tokens of a workspace's limit.
+	Take      func(ctx context.Context, workspace parser.Workspace, tokens identifier.Tokens) (*taker.Claim, *refuser.Refusal)
 	Budget    *budgeter.Budgeter
 	Ejector   *ejector.Ejector
 	Places    Places
@@ -170,7 +169,7 @@
 		return refusal, nil
 	}
 	j.w = newAnswerWriter(w)
-	reservation, refusal := c.reserve(ctx, j)
+	claim, refusal := c.takeTokens(ctx, j)
 	if refusal != nil {
 		c.logRefused(req, j, refusal)
 		return refusal, nil
@@ -183,7 +182,9 @@
 	} else {
 		refusal, err = c.plain(limited, j)
 	}
-	c.settle(reservation, j)
+	if !j.ran {
+		claim.NotRun()
+	}
 	switch {
 	case refusal != nil:
 		c.logRefused(req, j, refusal)
@@ -192,7 +193,7 @@
 		c.Log.Info("Cut.", "id", req.ID, "route", j.route.Name, "upstream", j.upstream, "hops", j.hops, "ms", c.millisSince(req.Arrived), "err", err)
 	default:
 		c.Meter.Event(meter.EventAnswer)
-		c.Log.Info("Answered.", "id", req.ID, "route", j.route.Name, "workspace", j.workspace.Name, "status", j.w.status, "upstream", j.upstream, "hops", j.hops, "ms", c.millisSince(req.Arrived))
+		c.Log.Info("Answered.", "id", req.ID, "route", j.route.Name, "workspace", j.workspace.Name, "tokens", weigh(j.req, j.workspace), "status", j.w.status, "upstream", j.upstream, "hops", j.hops, "ms", c.millisSince(req.Arrived))
 	}
 	return refusal, err
 }
@@ -234,14 +235,12 @@
 	return req.Arrived.Add(limit - answerMargin)
 }
 
-// reserve takes the request's tokens from its workspace's limit.
-func (c *Carrier) reserve(ctx context.Context, j *job) (*limiter.Reservation, *refuser.Refusal) {
+// takeTokens takes the request's tokens from its workspace's limit.
+func (c *Carrier) takeTokens(ctx context.Context, j *job) (*taker.Claim, *refuser.Refusal) {
 	if !j.workspace.IsLimited() {
 		return nil, nil
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, tokenWait)
-	defer cancel()
-	return c.Limiter.Reserve(waitCtx, j.workspace.Name, weigh(j.req, j.workspace))
+	return c.Take(ctx, j.workspace, weigh(j.req, j.workspace))
 }
 
 // weigh returns what a request takes from its workspace's limit.
@@ -252,18 +251,6 @@
 	return req.Size.Prompt + req.Size.MaxOutput
 }
 
-// settle gives the tokens of a request back that did not run.
-func (c *Carrier) settle(reservation *limiter.Reservation, j *job) {
-	if reservation == nil {
-		return
-	}
-	used := weigh(j.req, j.workspace)
-	if !j.ran {
-		used = 0
-	}
-	c.Limiter.Release(reservation, used)
-}
-
 // message returns a hop as it is sent.
 func (c *Carrier) message(j *job, hop Hop) exchanger.Message {
 	hop.Workspace = j.workspace.Name
@@ -301,7 +288,7 @@
 		"version", c.Version().Number, "ms", c.millisSince(req.Arrived), "reason", refusal.Message,
 	}
 	if j != nil {
-		attrs = append(attrs, "route", j.route.Name, "workspace", j.workspace.Name, "upstream", j.upstream, "hops", j.hops)
+		attrs = append(attrs, "route", j.route.Name, "workspace", j.workspace.Name, "tokens", weigh(req, j.workspace), "upstream", j.upstream, "hops", j.hops)
 	}
 	c.Log.Info("Refused.", attrs...)
 }
--- a/request/limiter/lending.go
+++ b/request/limiter/lending.go
@@ -81,7 +81,7 @@
 func (l *Limiter) lend(b *bucket, req BorrowRequest) BorrowResponse {
 	now := l.clock.Now()
 	b.advance(now)
-	floor := l.base / floorDivisor
+	floor := l.baseOf(b.workspace) / floorDivisor
 	if l.drained {
 		floor = 0
 	}
--- a/request/limiter/limiter.go
+++ b/request/limiter/limiter.go
@@ -59,7 +59,7 @@
 	// order in every run.
 	order   []*bucket
 	epoch   identifier.Offset
-	base    identifier.Parts
+	baseOf  func(identifier.WorkspaceName) identifier.Parts
 	settled bool
 	drained bool
 	lent    map[lendKey]lentGrant
@@ -109,6 +109,7 @@
 		short:     make(chan identifier.WorkspaceName, shortages),
 		wake:      make(chan struct{}, 1),
 		buckets:   make(map[identifier.WorkspaceName]*bucket),
+		baseOf:    func(identifier.WorkspaceName) identifier.Parts { return 0 },
 		epoch:     identifier.NoOffset,
 		lent:      make(map[lendKey]lentGrant),
 	}
@@ -127,7 +128,7 @@
 	for name, workspace := range workspaces {
 		b, ok := l.buckets[name]
 		if !ok {
-			l.add(newBucket(workspace, l.startShare(), now))
+			l.add(newBucket(workspace, l.startShare(name), now))
 			continue
 		}
 		b.advance(now)
@@ -144,30 +145,43 @@
 }
 
 // startShare is the share of a workspace that is new in this epoch.
-func (l *Limiter) startShare() identifier.Parts {
+func (l *Limiter) startShare(workspace identifier.WorkspaceName) identifier.Parts {
 	if !l.settled || l.drained {
 		return 0
 	}
-	return l.base
+	return l.baseOf(workspace)
+}
+
+// IsHeldWhole reports whether this daemon holds the whole limit of a workspace.
+func (l *Limiter) IsHeldWhole(workspace identifier.WorkspaceName) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, ok := l.buckets[workspace]
+	return ok && b.share >= identifier.WholeParts && l.IsCurrent()
 }
 
 // EnterEpoch begins an epoch with a base share, zero for one that is not a
 // member. Until Settle, each bucket holds the smaller of its old and new
 // share, so that any mixture of daemons in both epochs sums to at most one.
 func (l *Limiter) EnterEpoch(epoch identifier.Offset, base identifier.Parts) {
+	l.EnterEpochWith(epoch, func(identifier.WorkspaceName) identifier.Parts { return base })
+}
+
+// EnterEpochWith begins an epoch whose base shares differ by workspace.
+func (l *Limiter) EnterEpochWith(epoch identifier.Offset, baseOf func(identifier.WorkspaceName) identifier.Parts) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if epoch <= l.epoch {
 		return
 	}
 	l.epoch = epoch
-	l.base = base
+	l.baseOf = baseOf
 	l.settled = false
 	clear(l.lent)
 	now := l.clock.Now()
 	for _, b := range l.buckets {
 		b.advance(now)
-		b.setShare(min(b.share, base))
+		b.setShare(min(b.share, baseOf(b.workspace)))
 	}
 }
 
@@ -183,7 +197,7 @@
 	now := l.clock.Now()
 	for _, b := range l.buckets {
 		b.advance(now)
-		b.setShare(l.base)
+		b.setShare(l.baseOf(b.workspace))
 	}
 }
 
@@ -254,7 +268,7 @@
 		return w, nil
 	}
 	if !b.isWorthWaiting(now, want, deadline) {
-		return nil, b.refusal("more is waiting than the rate allows before the deadline")
+		return nil, b.refusal(want, "more is waiting than the rate allows before the deadline")
 	}
 	b.waiters = append(b.waiters, w)
 	b.waiting += want
@@ -272,13 +286,23 @@
 	if len(b.waiters) >= maxWaiters {
 		return false
 	}
-	budget := b.burst + b.rate*deadline.Sub(now).Seconds()
+	held := b.burst
+	if b.share >= identifier.WholeParts {
+		// Nothing can come from other daemons.
+		held = b.level
+	}
+	budget := held + b.rate*deadline.Sub(now).Seconds()
 	return b.waiting+tokens <= budget
 }
 
-func (b *bucket) refusal(reason string) *refuser.Refusal {
-	wait := time.Duration((b.waiting / b.rate) * float64(time.Second))
-	return refuser.New(429, refuser.OverLimit, "workspace %s is over its limit: %s", b.workspace, reason).After(max(wait, time.Second))
+func (b *bucket) refusal(want float64, reason string) *refuser.Refusal {
+	short := b.waiting
+	if b.share >= identifier.WholeParts {
+		short += want - b.level
+	}
+	wait := time.Duration(short / b.rate * float64(time.Second))
+	return refuser.New(429, refuser.OverLimit, "workspace %s is over its limit: %s (rate %.0f, share %d ppm, level %.0f, waiting %.0f tokens)",
+		b.workspace, reason, b.rate, b.share, b.level, b.waiting).After(max(wait, time.Second))
 }
 
 func (l *Limiter) take(b *bucket, tokens float64) *Reservation {
@@ -299,7 +323,7 @@
 	}
 	b.waiters = slices.Delete(b.waiters, at, at+1)
 	b.waiting -= w.tokens
-	return nil, b.refusal("no tokens became free in time")
+	return nil, b.refusal(w.tokens, "no tokens became free in time")
 }
 
 // Release ends a reservation and refunds what was not used. Only the first
--- a/request/placer/report.go
+++ b/request/placer/report.go
@@ -120,19 +120,14 @@
 	Tokens identifier.Tokens
 }
 
-// Claimed takes all that the daemons have running. What this pool did not
-// place counts as foreign.
+// Claimed takes what the daemons have running that another daemon had placed.
 func (p *Pool) Claimed(claims []Claim, now time.Time) {
 	sums := make(map[identifier.UpstreamName]float64)
 	for _, claim := range claims {
 		sums[claim.Engine] += tokens(claim.Tokens)
 	}
 	for name, e := range p.engines {
-		placed := 0.0
-		for _, r := range e.runs {
-			placed += r.prompt + r.made(now, p.pace)
-		}
-		e.foreign = max(0, sums[name]-placed)
+		e.foreign = sums[name]
 		e.foreignAt = now
 	}
 }
--- /dev/null
+++ b/request/taker/taker.go
@@ -0,0 +1,332 @@
+// Package taker takes tokens of a workspace's limit for one request. One daemon
+// of the fleet, the home, holds the whole limit of a workspace, so that large
+// requests do not meet a limit that lies in pieces. Where the home cannot be
+// reached, the next daemon in the same ranking admits within the tolerance that
+// the deployment states for its limits.
+package taker
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/request/limiter"
+	"sassafraspass.dev/sassafraspass/version/epocher"
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+const (
+	// MaxWait is how long the home lets a request wait for tokens.
+	MaxWait = 250 * time.Millisecond
+	// callMargin is what a call to the home may take beside that.
+	callMargin = 100 * time.Millisecond
+	// avoidFor is how long a home that did not answer is not asked.
+	avoidFor = 700 * time.Millisecond
+	// refundLife is how long the tokens of a request can be given back.
+	refundLife = 15 * time.Second
+	// floatCalls is how many small requests are taken for at once, smallTokens
+	// the largest of them, and floatLife how long the rest is used.
+	floatCalls  = 5
+	smallTokens = 500
+	floatLife   = 5 * time.Second
+	giveTimeout = time.Second
+)
+
+// Key names one take: the daemon that asked, and its own number.
+type Key struct {
+	Holder identifier.Incarnation
+	Number int64
+}
+
+// Ask asks a home for tokens.
+type Ask struct {
+	Key       Key
+	Workspace identifier.WorkspaceName
+	Tokens    identifier.Tokens
+	Wait      time.Duration
+	// Deputy says that the home cannot be reached by the asker.
+	Deputy bool
+}
+
+// Answer is a home's answer.
+type Answer struct {
+	Granted bool
+	// Home is false where the asked daemon does not hold the limit now.
+	Home bool
+	// Reason and RetryAfter describe a refusal.
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Taker takes tokens, and answers the daemons whose workspaces have their home
+// here.
+type Taker struct {
+	Self    identifier.Incarnation
+	Limiter *limiter.Limiter
+	// Homes ranks the daemons for a workspace.
+	Homes func(workspace identifier.WorkspaceName) []epocher.Member
+	// Ask sends an ask to a home, and GiveBack what was not used.
+	Ask      func(ctx context.Context, home identifier.Address, ask Ask) (Answer, error)
+	GiveBack func(ctx context.Context, home identifier.Address, holder identifier.Incarnation, numbers []int64) error
+	// Tolerance returns the tokens that may be admitted beyond a workspace's
+	// limit in each Window.
+	Tolerance func(workspace parser.Workspace) identifier.Tokens
+	Window    time.Duration
+	Workspace func(name identifier.WorkspaceName) (parser.Workspace, bool)
+
+	Clock clockwork.Clock
+	Log   *slog.Logger
+
+	mu       sync.Mutex
+	number   int64
+	avoided  map[identifier.Address]time.Time
+	floats   map[identifier.WorkspaceName]float
+	taken    map[Key]held
+	deputies map[identifier.WorkspaceName]*deputy
+}
+
+// float is what was taken ahead for small requests.
+type float struct {
+	tokens identifier.Tokens
+	until  time.Time
+}
+
+// held is a reservation of a request that may still be given back.
+type held struct {
+	reservation *limiter.Reservation
+	tokens      identifier.Tokens
+	until       time.Time
+}
+
+// deputy counts what was admitted without the home.
+type deputy struct {
+	spent []spending
+}
+
+type spending struct {
+	at     time.Time
+	tokens identifier.Tokens
+}
+
+// New returns a taker that has taken nothing.
+func New() *Taker {
+	return &Taker{
+		avoided:  make(map[identifier.Address]time.Time),
+		floats:   make(map[identifier.WorkspaceName]float),
+		taken:    make(map[Key]held),
+		deputies: make(map[identifier.WorkspaceName]*deputy),
+	}
+}
+
+// Claim is tokens taken for a request.
+type Claim struct {
+	taker  *Taker
+	home   identifier.Address
+	number int64
+}
+
+// NotRun gives the tokens back, as the request did not run. The context is not
+// the request's, which may be over.
+func (c *Claim) NotRun() {
+	if c == nil || c.number == 0 {
+		return
+	}
+	if c.home == "" {
+		c.taker.Returned(c.taker.Self, []int64{c.number})
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), giveTimeout)
+		defer cancel()
+		err := c.taker.GiveBack(ctx, c.home, c.taker.Self, []int64{c.number})
+		if err != nil {
+			c.taker.Log.Debug("Tokens could not be given back.", "home", c.home, "err", err)
+		}
+	}()
+}
+
+// Take takes tokens for a request, or refuses it.
+func (t *Taker) Take(ctx context.Context, workspace parser.Workspace, tokens identifier.Tokens) (*Claim, *refuser.Refusal) {
+	isSmall := tokens <= smallTokens
+	if isSmall && t.takeFloat(workspace.Name, tokens) {
+		return &Claim{taker: t}, nil
+	}
+	want := tokens
+	if isSmall {
+		want = floatCalls * tokens
+	}
+	ask := Ask{Key: t.nextKey(), Workspace: workspace.Name, Tokens: want, Wait: MaxWait}
+	answer, home := t.ask(ctx, ask)
+	if !answer.Granted && isSmall && answer.Home {
+		ask.Tokens = tokens
+		answer, home = t.ask(ctx, ask)
+	}
+	if !answer.Granted {
+		return nil, refuser.New(429, refuser.OverLimit, "%s", answer.Reason).After(answer.RetryAfter)
+	}
+	if isSmall {
+		t.addFloat(workspace.Name, ask.Tokens-tokens)
+		return &Claim{taker: t}, nil
+	}
+	return &Claim{taker: t, home: home, number: ask.Key.Number}, nil
+}
+
+func (t *Taker) nextKey() Key {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.number++
+	return Key{Holder: t.Self, Number: t.number}
+}
+
+// ask asks the home, and its deputy where the home does not answer.
+func (t *Taker) ask(ctx context.Context, ask Ask) (answer Answer, home identifier.Address) {
+	for i, member := range t.Homes(ask.Workspace) {
+		ask.Deputy = i > 0
+		if member.Incarnation == t.Self {
+			answer = t.Serve(ctx, ask)
+			home = ""
+		} else {
+			answer = t.askPeer(ctx, member.Peer, ask)
+			home = member.Peer
+		}
+		if answer.Home || ctx.Err() != nil {
+			return answer, home
+		}
+	}
+	return Answer{Reason: "no daemon holds the limit of workspace " + string(ask.Workspace), RetryAfter: time.Second}, ""
+}
+
+func (t *Taker) askPeer(ctx context.Context, address identifier.Address, ask Ask) Answer {
+	if t.isAvoided(address) {
+		return Answer{}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, ask.Wait+callMargin)
+	defer cancel()
+	answer, err := t.Ask(callCtx, address, ask)
+	if err == nil {
+		return answer
+	}
+	if ctx.Err() == nil {
+		t.avoid(address)
+		t.Log.Info("The home of a workspace did not answer.", "workspace", ask.Workspace, "home", address, "err", err)
+	}
+	return Answer{}
+}
+
+func (t *Taker) isAvoided(address identifier.Address) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.Clock.Now().Before(t.avoided[address])
+}
+
+func (t *Taker) avoid(address identifier.Address) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.avoided[address] = t.Clock.Now().Add(avoidFor)
+}
+
+func (t *Taker) takeFloat(workspace identifier.WorkspaceName, tokens identifier.Tokens) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.floats[workspace]
+	if f.tokens < tokens || t.Clock.Now().After(f.until) {
+		return false
+	}
+	f.tokens -= tokens
+	t.floats[workspace] = f
+	return true
+}
+
+func (t *Taker) addFloat(workspace identifier.WorkspaceName, tokens identifier.Tokens) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.floats[workspace] = float{tokens: tokens, until: t.Clock.Now().Add(floatLife)}
+}
+
+// Serve answers an ask at this daemon.
+func (t *Taker) Serve(ctx context.Context, ask Ask) Answer {
+	if !t.Limiter.IsHeldWhole(ask.Workspace) {
+		if ask.Deputy {
+			return t.serveAsDeputy(ask)
+		}
+		return Answer{}
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, min(ask.Wait, MaxWait))
+	defer cancel()
+	reservation, refusal := t.Limiter.Reserve(waitCtx, ask.Workspace, ask.Tokens)
+	if refusal != nil {
+		return Answer{Home: true, Reason: refusal.Message, RetryAfter: refusal.RetryAfter}
+	}
+	t.hold(ask, reservation)
+	return Answer{Granted: true, Home: true}
+}
+
+// serveAsDeputy admits within the tolerance, as the asker cannot reach the home.
+func (t *Taker) serveAsDeputy(ask Ask) Answer {
+	workspace, ok := t.Workspace(ask.Workspace)
+	if !ok {
+		return Answer{}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d, ok := t.deputies[ask.Workspace]
+	if !ok {
+		d = &deputy{}
+		t.deputies[ask.Workspace] = d
+	}
+	now := t.Clock.Now()
+	sum := d.within(now.Add(-t.Window))
+	if sum+ask.Tokens > t.Tolerance(workspace) {
+		return Answer{Home: true, Reason: "the home of workspace " + string(ask.Workspace) + " cannot be reached, and its tolerance is spent", RetryAfter: time.Second}
+	}
+	d.spent = append(d.spent, spending{at: now, tokens: ask.Tokens})
+	return Answer{Granted: true, Home: true}
+}
+
+// within forgets what was spent before a time and sums up the rest.
+func (d *deputy) within(since time.Time) (sum identifier.Tokens) {
+	for len(d.spent) > 0 && d.spent[0].at.Before(since) {
+		d.spent = d.spent[1:]
+	}
+	for _, s := range d.spent {
+		sum += s.tokens
+	}
+	return sum
+}
+
+// hold keeps a reservation for as long as it can be given back.
+func (t *Taker) hold(ask Ask, reservation *limiter.Reservation) {
+	t.mu.Lock()
+	now := t.Clock.Now()
+	var over []held
+	for key, h := range t.taken {
+		if now.After(h.until) {
+			over = append(over, h)
+			delete(t.taken, key)
+		}
+	}
+	t.taken[ask.Key] = held{reservation: reservation, tokens: ask.Tokens, until: now.Add(refundLife)}
+	t.mu.Unlock()
+	for _, h := range over {
+		t.Limiter.Release(h.reservation, h.tokens)
+	}
+}
+
+// Returned takes tokens back of requests that did not run.
+func (t *Taker) Returned(holder identifier.Incarnation, numbers []int64) {
+	for _, number := range numbers {
+		key := Key{Holder: holder, Number: number}
+		t.mu.Lock()
+		h, ok := t.taken[key]
+		delete(t.taken, key)
+		t.mu.Unlock()
+		if ok {
+			t.Limiter.Release(h.reservation, 0)
+		}
+	}
+}
--- a/version/epocher/epocher.go
+++ b/version/epocher/epocher.go
@@ -4,12 +4,15 @@
 package epocher
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/identifier"
 )
@@ -53,6 +56,22 @@
 	return identifier.WholeParts / identifier.Parts(len(e.Members))
 }
 
+// Homes ranks the members by a hash with a workspace. The first holds the
+// workspace's whole limit where limits are not divided.
+func (e Epoch) Homes(workspace identifier.WorkspaceName) []Member {
+	ranked := slices.Clone(e.Members)
+	slices.SortFunc(ranked, func(a, b Member) int {
+		return cmp.Compare(homeWeight(workspace, b), homeWeight(workspace, a))
+	})
+	return ranked
+}
+
+// homeWeight depends on the VM, so that a limit stays where it is when a
+// daemon starts again.
+func homeWeight(workspace identifier.WorkspaceName, member Member) uint64 {
+	return xxhash.Sum64String(string(workspace) + "/" + string(member.VM))
+}
+
 // Fold returns the epoch after a record. A broken or outdated record leaves
 // the epoch as it is.
 func Fold(current Epoch, offset identifier.Offset, data []byte) (next Epoch, err error) {
