Replace the full mesh of heartbeats by a few hubs that relay

Change: at most five members of the epoch hear all daemons, read the store for them and answer beats with what changed (roster, upstreams, version, age). The others send one beat each 200 ms to one of them in turn.

--- a/connection/messenger/codec.go
+++ b/connection/messenger/codec.go
@@ -29,6 +29,9 @@
 		Heard:           toStrings(b.Heard),
 		Resumed:         toStrings(b.Resumed),
 	}
+	msg.Weight = b.Weight
+	msg.Marks = encodeMarks(b.Marks)
+	msg.Relay = encodeRelay(b.Relay)
 	for _, load := range b.Loads {
 		msg.Loads = append(msg.Loads, &peerv1.EngineLoad{
 			Upstream: string(load.Upstream),
@@ -55,6 +58,9 @@
 		Heard:       fromStrings[identifier.Incarnation](msg.GetHeard()),
 		Resumed:     fromStrings[identifier.AttemptID](msg.GetResumed()),
 	}
+	b.Weight = msg.GetWeight()
+	b.Marks = decodeMarks(msg.GetMarks())
+	b.Relay = decodeRelay(msg.GetRelay())
 	for _, load := range msg.GetLoads() {
 		b.Loads = append(b.Loads, heartbeater.EngineLoad{
 			Upstream: identifier.UpstreamName(load.GetUpstream()),
--- a/process/allotter/allotter.go
+++ b/process/allotter/allotter.go
@@ -4,6 +4,7 @@
 package allotter
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -49,6 +50,11 @@
 	Append func(ctx context.Context, stream identifier.StreamName, data []byte) (identifier.Offset, error)
 	// Removed is told that the epoch left this daemon out against its will.
 	Removed func()
+	// MaxMembers bounds the members of an epoch; zero for all daemons. Those
+	// with most processor time come first, of different availability zones.
+	MaxMembers int
+	// SelfBeat describes this daemon as its beats do.
+	SelfBeat func() heartbeater.Beat
 	// SilenceProves is the silence after which a member counts as gone; zero
 	// for never. It needs members that stop admitting sooner by themselves
 	// when they do not hear a majority of the epoch.
@@ -166,15 +172,7 @@
 			wanted = append(wanted, member)
 		}
 	}
-	for _, peer := range a.Members.Live() {
-		joining := peer.State != heartbeater.StateLeaving && !peer.Drained
-		if joining && !epoch.Has(peer.Incarnation) {
-			wanted = append(wanted, epocher.Member{Incarnation: peer.Incarnation, VM: peer.VM, Peer: peer.Peer})
-		}
-	}
-	if a.IsJoining() && !epoch.Has(a.Self.Incarnation) && !a.wasMember {
-		wanted = append(wanted, a.Self)
-	}
+	wanted = append(wanted, a.joiners(epoch, len(wanted))...)
 	slices.SortFunc(wanted, func(x, y epocher.Member) int {
 		if x.Incarnation < y.Incarnation {
 			return -1
@@ -184,6 +182,56 @@
 	return wanted
 }
 
+// joiners returns the daemons that the epoch should have beside those that stay.
+func (a *Allotter) joiners(epoch epocher.Epoch, staying int) (joining []epocher.Member) {
+	var candidates []heartbeater.Beat
+	for _, peer := range a.Members.Live() {
+		isJoining := peer.State != heartbeater.StateLeaving && !peer.Drained
+		if isJoining && !epoch.Has(peer.Incarnation) {
+			candidates = append(candidates, peer.Beat)
+		}
+	}
+	if a.IsJoining() && !epoch.Has(a.Self.Incarnation) && !a.wasMember {
+		candidates = append(candidates, a.SelfBeat())
+	}
+	if a.MaxMembers > 0 {
+		candidates = a.choose(candidates, epoch, max(0, a.MaxMembers-staying))
+	}
+	for _, beat := range candidates {
+		joining = append(joining, epocher.Member{Incarnation: beat.Incarnation, VM: beat.VM, Peer: beat.Peer})
+	}
+	return joining
+}
+
+// choose picks candidates by weight, from the zones with the fewest members.
+func (a *Allotter) choose(candidates []heartbeater.Beat, epoch epocher.Epoch, count int) (chosen []heartbeater.Beat) {
+	inZone := make(map[identifier.ZoneName]int)
+	for _, member := range epoch.Members {
+		peer, ok := a.Members.Find(member.Incarnation)
+		if ok && !a.isGone(member) {
+			inZone[peer.Zone]++
+		}
+	}
+	for len(chosen) < count && len(candidates) > 0 {
+		best := 0
+		for i, c := range candidates {
+			b := candidates[best]
+			order := cmp.Or(
+				cmp.Compare(inZone[c.Zone], inZone[b.Zone]),
+				cmp.Compare(b.Weight, c.Weight),
+				cmp.Compare(c.Incarnation, b.Incarnation),
+			)
+			if order < 0 {
+				best = i
+			}
+		}
+		chosen = append(chosen, candidates[best])
+		inZone[candidates[best].Zone]++
+		candidates = slices.Delete(candidates, best, best+1)
+	}
+	return chosen
+}
+
 func (a *Allotter) isGone(member epocher.Member) bool {
 	if member.Incarnation == a.Self.Incarnation {
 		return a.Limiter.IsDrained()
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -56,6 +56,8 @@
 	Directory identifier.Address `json:"directory"`
 	// MemoryMiB is the VM's memory; zero sets no limit.
 	MemoryMiB int64 `json:"memory-mib"`
+	// CPUShare is the part of a core that the VM has.
+	CPUShare float64 `json:"cpu-share"`
 	// Grace is the time from the signal to stop until the process is killed.
 	Grace time.Duration `json:"grace"`
 	// RetryRatio and RetryExtra bound the sends to a second upstream within
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -41,6 +41,8 @@
 	Zone     identifier.ZoneName
 	Caller   identifier.Address
 	Operator identifier.Address
+	// Weight is the part of a core that the daemon has.
+	Weight float64
 	// Seeds are addresses of peers from the settings.
 	Seeds []identifier.Address
 }
@@ -83,6 +85,10 @@
 
 	// Extend adds to a beat what other parts of the daemon tell.
 	Extend func(beat *heartbeater.Beat)
+	// Mark adds to a beat what this daemon has already of what the receiver may
+	// relay, and Relay returns what it relays to a sender; nil for nothing.
+	Mark  func(beat *heartbeater.Beat, to identifier.Address)
+	Relay func(from heartbeater.Beat) *heartbeater.Relay
 	// Learn takes from a beat what other parts want of it.
 	Learn func(beat heartbeater.Beat)
 	// Watched lists the daemons that matter beside the epoch's members.
@@ -111,6 +117,8 @@
 		Messages:   messages,
 		Extend:     func(*heartbeater.Beat) {},
 		Learn:      func(heartbeater.Beat) {},
+		Mark:       func(*heartbeater.Beat, identifier.Address) {},
+		Relay:      func(heartbeater.Beat) *heartbeater.Relay { return nil },
 		Watched:    func() []epocher.Member { return nil },
 		IsPrepared: func() bool { return true },
 		removed:    make(chan struct{}),
@@ -147,7 +155,7 @@
 	f.Heartbeat.Members = f.Members
 	f.Heartbeat.Self = f.Identity.Self.Peer
 	f.Heartbeat.Seeds = f.Identity.Seeds
-	f.Heartbeat.Beat = f.Beat
+	f.Heartbeat.Beat = f.beatTo
 	f.Heartbeat.Exchange = f.Messages.Heartbeat
 	f.Heartbeat.Received = f.received
 	f.Heartbeat.ReadVMs = f.Drivers.ReadVMs
@@ -175,6 +183,7 @@
 		Members:   f.Members,
 		IsJoining: func() bool { return !f.Leaving.Load() && f.VersionRead.Load() },
 		IsCurrent: f.Confirmer.IsCurrent,
+		SelfBeat:  f.Beat,
 		Append:    f.Drivers.Append,
 		Removed:   func() { f.removeOnce.Do(func() { close(f.removed) }) },
 		Clock:     f.Clock,
@@ -251,13 +260,22 @@
 	f.Log.Info("An epoch began.", "epoch", epoch.Number, "members", len(epoch.Members), "member", isMember, "whole-limits", f.WholeLimits)
 }
 
+// areSharesKnown reports whether this daemon can admit requests: with its own
+// shares, or at the members that hold the whole limits.
+func (f *Fleet) areSharesKnown() bool {
+	if f.WholeLimits {
+		return len(f.Epocher.Current().Members) > 0
+	}
+	return f.Limiter.IsSettled()
+}
+
 // IsReady reports whether this daemon has known its configuration and held
 // shares. A later change of epoch does not make it unready.
 func (f *Fleet) IsReady() bool {
 	if f.ready.Load() {
 		return true
 	}
-	ready := f.VersionRead.Load() && f.Limiter.IsSettled() && f.IsPrepared()
+	ready := f.VersionRead.Load() && f.areSharesKnown() && f.IsPrepared()
 	if ready && f.ready.CompareAndSwap(false, true) {
 		f.Heartbeat.Kick()
 	}
--- a/process/fleet/members.go
+++ b/process/fleet/members.go
@@ -24,6 +24,7 @@
 		Peer:        f.Identity.Self.Peer,
 		Caller:      f.Identity.Caller,
 		Operator:    f.Identity.Operator,
+		Weight:      f.Identity.Weight,
 		State:       f.State(),
 		Drained:     f.Limiter.IsDrained(),
 		Version:     f.Follower.Version().Number,
@@ -35,11 +36,20 @@
 	return b
 }
 
+// beatTo returns what this daemon says to a receiver.
+func (f *Fleet) beatTo(address identifier.Address) heartbeater.Beat {
+	b := f.Beat()
+	f.Mark(&b, address)
+	return b
+}
+
 // Heard takes a peer's beat and returns this daemon's own.
 func (f *Fleet) Heard(beat heartbeater.Beat) heartbeater.Beat {
 	f.Members.Heard(beat)
 	f.learn(beat)
-	return f.Beat()
+	own := f.Beat()
+	own.Relay = f.Relay(beat)
+	return own
 }
 
 // State tells whether this daemon takes new work.
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -26,9 +26,12 @@
 	readers = 2
 	// relayedAge is the age from which a daemon reads for itself what its
 	// peers tell it.
-	relayedAge = 1800 * time.Millisecond
-	gatePoll   = 100 * time.Millisecond
-	retryPause = 300 * time.Millisecond
+	relayedAge = 2200 * time.Millisecond
+	// relayedListAge is the same for the list of upstreams, which must be known
+	// within the time that a leaving upstream still serves.
+	relayedListAge = 1600 * time.Millisecond
+	gatePoll       = 200 * time.Millisecond
+	retryPause     = 300 * time.Millisecond
 )
 
 // fleetDrivers are the drivers of the part that is common to all daemons.
@@ -43,17 +46,19 @@
 }
 
 // isReader reports whether this daemon reads the store for the others: the
-// first live ones do, of two availability zones where possible.
+// first live hubs do, of different availability zones.
 func (g *Gateway) isReader() bool {
-	before := 0
+	if !g.isHub() {
+		return false
+	}
 	zones := map[identifier.ZoneName]bool{}
 	for _, member := range g.Members.Live() {
-		if member.Incarnation < g.Identity.Self.Incarnation && !zones[member.Zone] {
+		isBefore := member.Incarnation < g.Identity.Self.Incarnation
+		if isBefore && g.Epocher.Current().Has(member.Incarnation) {
 			zones[member.Zone] = true
-			before++
 		}
 	}
-	return before < readers && !zones[g.Identity.Zone]
+	return len(zones) < readers && !zones[g.Identity.Zone]
 }
 
 // awaitDue waits until this daemon has to read the store: as a reader, or
@@ -163,6 +168,10 @@
 	log := logger.For(g.Log, logger.Upstream)
 	next := identifier.NoOffset
 	for ctx.Err() == nil {
+		if !g.isHub() && g.registrar.IsWhole() && g.registrar.Age() < relayedListAge {
+			repeater.Sleep(ctx, g.Clock, gatePoll)
+			continue
+		}
 		news, err := g.readUpstreams(ctx, next)
 		if err != nil {
 			g.Meter.Retry(meter.RetryLogRead)
@@ -175,9 +184,9 @@
 			next = identifier.NoOffset
 			continue
 		}
-		g.registrar.Read(false)
+		g.registrar.Read(next, 0, false)
 		g.takeUpstreams(log, news, isWhole)
-		g.registrar.Read(isWhole)
+		g.registrar.Read(next, 0, isWhole)
 		repeater.Sleep(ctx, g.Clock, registrar.ReadInterval)
 	}
 	return ctx.Err()
@@ -195,18 +204,18 @@
 	for _, change := range news.Changes {
 		switch {
 		case change.Gone:
-			g.registrar.Remove(change.Name)
+			g.registrar.Remove(change.Name, change.Offset)
 		case change.Broken != nil:
 			g.Meter.Event(meter.EventBrokenRecord)
 			log.Warn("A record names no upstream.", "name", change.Name, "err", change.Broken)
-			g.registrar.Remove(change.Name)
+			g.registrar.Remove(change.Name, change.Offset)
 		default:
 			listed[change.Name] = true
 			g.registrar.Put(change.Entry)
 		}
 	}
 	if isWhole {
-		g.registrar.Keep(listed)
+		g.registrar.Keep(listed, news.Next)
 	}
 }
 
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -84,9 +84,10 @@
 
 // UpstreamChange is one record of an upstream.
 type UpstreamChange struct {
-	Name  identifier.UpstreamName
-	Entry registrar.Entry
-	Gone  bool
+	Name   identifier.UpstreamName
+	Offset identifier.Offset
+	Entry  registrar.Entry
+	Gone   bool
 	// Broken tells why the record names no upstream.
 	Broken error
 }
@@ -141,6 +142,8 @@
 	routes    atomic.Pointer[router.Router]
 	placement atomic.Int64
 	roster    *roster
+	// turn counts the beats of a daemon that is no hub.
+	turn atomic.Int64
 	// changed wakes the duty that passes upstreams on to the placer.
 	changed chan struct{}
 }
@@ -238,7 +241,12 @@
 	f.Allotter.SilenceProves = silenceProves
 	f.Limiter.IsCurrent = func() bool { return f.Confirmer.IsCurrent() && f.HearsMajority(majorityWithin) }
 	f.IsPrepared = func() bool { return g.registrar.IsWhole() }
+	f.Allotter.MaxMembers = maxHubs
+	f.Heartbeat.Targets = g.targets
 	f.Extend = g.extendBeat
+	f.Mark = g.mark
+	f.Relay = g.relay
+	f.Learn = g.learn
 	f.Follower.Installed = g.installed
 	g.registrar = registrar.New(tools.Clock)
 	g.registrar.Changed = g.upstreamsChanged
@@ -318,6 +326,7 @@
 		Caller:   identifier.Address(g.listeners.callers.Addr().String()),
 		Operator: identifier.Address(g.listeners.operators.Addr().String()),
 		Seeds:    g.settings.Seeds,
+		Weight:   g.settings.Gateway.CPUShare,
 	}
 }
 
--- a/process/heartbeater/heartbeater.go
+++ b/process/heartbeater/heartbeater.go
@@ -34,8 +34,11 @@
 	Self identifier.Address
 	// Seeds are addresses of peers from the settings, beside the listed ones.
 	Seeds []identifier.Address
-	// Beat returns what this daemon says about itself.
-	Beat func() Beat
+	// Targets returns the addresses to send beats to, and how often to each.
+	// Where it is nil, all known daemons get one each Interval.
+	Targets func() (addresses []identifier.Address, interval time.Duration)
+	// Beat returns what this daemon says about itself, for a receiver.
+	Beat func(to identifier.Address) Beat
 	// Exchange sends a beat to an address and returns the peer's own.
 	Exchange func(ctx context.Context, address identifier.Address, beat Beat) (Beat, error)
 	// Received is told each beat that answered one sent at a time.
@@ -82,8 +85,11 @@
 	ticker := h.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
-		for _, address := range h.addresses() {
-			running.Go(func() { h.exchange(ctx, address) })
+		addresses, interval := h.targets()
+		for _, address := range addresses {
+			if h.begin(address, interval) {
+				running.Go(func() { h.exchange(ctx, address) })
+			}
 		}
 		select {
 		case <-ticker.Chan():
@@ -112,6 +118,13 @@
 	}
 }
 
+func (h *Heartbeater) targets() (addresses []identifier.Address, interval time.Duration) {
+	if h.Targets != nil {
+		return h.Targets()
+	}
+	return h.addresses(), Interval
+}
+
 // addresses returns the peers from the list, the settings, the epoch and the
 // beats so far, each once.
 func (h *Heartbeater) addresses() []identifier.Address {
@@ -140,14 +153,11 @@
 }
 
 func (h *Heartbeater) exchange(ctx context.Context, address identifier.Address) {
-	if !h.begin(address) {
-		return
-	}
 	defer h.end(address)
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	asked := h.Clock.Now()
-	beat, err := h.Exchange(ctx, address, h.Beat())
+	beat, err := h.Exchange(ctx, address, h.Beat(address))
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		h.Members.Refused(address, asked)
 		h.forget(address)
@@ -161,11 +171,11 @@
 }
 
 // begin reports whether a beat to the address is due and none is under way.
-func (h *Heartbeater) begin(address identifier.Address) bool {
+func (h *Heartbeater) begin(address identifier.Address, interval time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Clock.Now()
-	if h.busy[address] || now.Sub(h.sentAt[address]) < Interval {
+	if h.busy[address] || now.Sub(h.sentAt[address]) < interval {
 		return false
 	}
 	h.busy[address] = true
--- a/process/heartbeater/members.go
+++ b/process/heartbeater/members.go
@@ -1,6 +1,7 @@
 package heartbeater
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/registrar"
 	"sassafraspass.dev/sassafraspass/version/epocher"
 )
 
@@ -45,6 +47,32 @@
 	Heard []identifier.Incarnation
 	// Resumed lists attempts whose callers came to this daemon lately.
 	Resumed []identifier.AttemptID
+	// Weight is the part of a core that the daemon has.
+	Weight float64
+	// Marks tell a hub what this daemon has already, and Relay holds what a
+	// hub tells beyond itself; nil for nothing.
+	Marks Marks
+	Relay *Relay
+}
+
+// Marks tell a hub what the sender has already, so that only news is sent.
+type Marks struct {
+	// RosterOf is the hub that numbered the roster.
+	RosterOf identifier.Incarnation
+	Roster   int64
+	// Upstreams is the offset up to which the list of upstreams is known.
+	Upstreams identifier.Offset
+}
+
+// Relay is what a hub tells that hears all daemons and reads the store.
+type Relay struct {
+	// HasRoster says that Members holds all daemons that the hub hears, and
+	// Roster the number of that state.
+	HasRoster bool
+	Roster    int64
+	Members   []Beat
+	// Upstreams is nil where the hub has nothing to tell.
+	Upstreams *registrar.Feed
 }
 
 // EngineLoad is what one daemon has running at one engine.
@@ -71,6 +99,9 @@
 	GoneAfter = 8 * time.Second
 	// memory is how long a daemon that is not heard any more is remembered.
 	memory = 10 * time.Minute
+	// rosterInterval is how long the roster of the daemons heard here is kept
+	// before it is made anew.
+	rosterInterval = 100 * time.Millisecond
 	// refusalsForGone is how many heartbeats in a row must be refused.
 	refusalsForGone = 2
 )
@@ -94,6 +125,18 @@
 	missingSince map[identifier.VMName]time.Time
 	lastReading  time.Time
 	listed       []appender.VM
+	// rosters holds what each hub last told of the daemons that it hears.
+	rosters map[identifier.Incarnation]roster
+	// own numbers the states of the daemons heard here.
+	own      []Beat
+	ownCount int64
+	ownAt    time.Time
+}
+
+// roster is what a hub told of the daemons that it hears.
+type roster struct {
+	number  int64
+	members []Beat
 }
 
 // answer tells which daemon answered at an address, to a beat sent at a time.
@@ -119,6 +162,7 @@
 		answered:     make(map[identifier.Address]answer),
 		refused:      make(map[identifier.Address]refusals),
 		missingSince: make(map[identifier.VMName]time.Time),
+		rosters:      make(map[identifier.Incarnation]roster),
 	}
 }
 
@@ -182,26 +226,115 @@
 	return m.listed
 }
 
-// Live returns the daemons heard lately, ordered by incarnation.
+// Live returns the daemons heard lately, here or by a hub that is, ordered by
+// incarnation.
 func (m *Members) Live() []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var live []Member
+	live := m.heardHere()
+	known := make(map[identifier.Incarnation]bool, len(live))
+	for _, member := range live {
+		known[member.Incarnation] = true
+	}
+	for _, member := range m.heardByHubs() {
+		if !known[member.Incarnation] && member.Incarnation != m.self {
+			known[member.Incarnation] = true
+			live = append(live, member)
+		}
+	}
+	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return live
+}
+
+// heardHere returns the daemons whose own beats came lately.
+func (m *Members) heardHere() (live []Member) {
 	now := m.clock.Now()
 	for _, member := range m.members {
 		if now.Sub(member.HeardAt) <= SilentAfter {
 			live = append(live, member)
 		}
 	}
-	slices.SortFunc(live, func(a, b Member) int {
-		if a.Incarnation < b.Incarnation {
-			return -1
+	return live
+}
+
+// heardByHubs returns the daemons in the rosters of the hubs heard lately. One
+// that leaves comes first, as other hubs may not know that yet.
+func (m *Members) heardByHubs() (live []Member) {
+	now := m.clock.Now()
+	for hub, r := range m.rosters {
+		heard, ok := m.members[hub]
+		if !ok || now.Sub(heard.HeardAt) > SilentAfter {
+			continue
+		}
+		for _, beat := range r.members {
+			live = append(live, Member{Beat: beat, HeardAt: heard.HeardAt})
 		}
-		return 1
+	}
+	slices.SortStableFunc(live, func(a, b Member) int {
+		return cmp.Compare(stateRank[a.State], stateRank[b.State])
 	})
 	return live
 }
 
+var stateRank = map[State]int{StateLeaving: 0, StateStarting: 1, StateServing: 2}
+
+// RosterSince returns the daemons heard here, where that differs from the state
+// of a number, and the present number.
+func (m *Members) RosterSince(self Beat, number int64) (members []Beat, present int64, changed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	if now.Sub(m.ownAt) < rosterInterval {
+		return m.own, m.ownCount, m.ownCount != number
+	}
+	m.ownAt = now
+	var heard []Beat
+	for _, member := range append(m.heardHere(), Member{Beat: self}) {
+		heard = append(heard, Beat{
+			Incarnation: member.Incarnation,
+			VM:          member.VM,
+			Zone:        member.Zone,
+			Peer:        member.Peer,
+			Caller:      member.Caller,
+			State:       member.State,
+			Weight:      member.Weight,
+			Version:     identifier.NoOffset,
+			Epoch:       identifier.NoOffset,
+		})
+	}
+	slices.SortFunc(heard, func(a, b Beat) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	if !slices.EqualFunc(heard, m.own, isSameDaemon) {
+		m.own = heard
+		m.ownCount++
+	}
+	return m.own, m.ownCount, m.ownCount != number
+}
+
+func isSameDaemon(a, b Beat) bool {
+	return a.Incarnation == b.Incarnation && a.State == b.State && a.Caller == b.Caller && a.Peer == b.Peer
+}
+
+// TakeRoster notes what a hub tells of the daemons that it hears.
+func (m *Members) TakeRoster(hub identifier.Incarnation, number int64, members []Beat) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rosters[hub] = roster{number: number, members: members}
+}
+
+// RosterOf returns the number of the roster that a hub last told.
+func (m *Members) RosterOf(hub identifier.Incarnation) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rosters[hub].number
+}
+
+// At returns the daemon that last answered at an address.
+func (m *Members) At(address identifier.Address) identifier.Incarnation {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answered[address].incarnation
+}
+
 // Unlisted returns the live daemons whose VMs the platform's list misses.
 func (m *Members) Unlisted() []identifier.Incarnation {
 	var unlisted []identifier.Incarnation
@@ -328,6 +461,7 @@
 	for incarnation, member := range m.members {
 		if !isWatched[incarnation] && now.Sub(member.HeardAt) > memory {
 			delete(m.members, incarnation)
+			delete(m.rosters, incarnation)
 			forgotten = append(forgotten, incarnation)
 			continue
 		}
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -3,6 +3,7 @@
 package registrar
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -21,6 +22,8 @@
 	// returnGrace is how long after the list's return a missing upstream is
 	// still used: entries that lapsed in an outage are back within that time.
 	returnGrace = 2 * time.Second
+	// maxGone bounds how many upstreams that left are remembered.
+	maxGone = 512
 )
 
 // State tells whether an upstream takes new work.
@@ -63,7 +66,15 @@
 	moved map[identifier.UpstreamName]identifier.Offset
 	// doubted holds upstreams that the list lost around an outage.
 	doubted map[identifier.UpstreamName]time.Time
-	readAt  time.Time
+	// changedAt holds the offset at which each entry last changed but for its
+	// own count, and gone the offset at which upstreams left.
+	changedAt map[identifier.UpstreamName]identifier.Offset
+	gone      map[identifier.UpstreamName]identifier.Offset
+	// upto is the offset up to which the list is known, and floor the one from
+	// which the feed of changes is complete.
+	upto   identifier.Offset
+	floor  identifier.Offset
+	readAt time.Time
 	// returnedAt is when the list was reached again after an outage.
 	returnedAt time.Time
 	whole      bool
@@ -77,20 +88,97 @@
 		entries: make(map[identifier.UpstreamName]Entry),
 		moved:   make(map[identifier.UpstreamName]identifier.Offset),
 		doubted: make(map[identifier.UpstreamName]time.Time),
+
+		changedAt: make(map[identifier.UpstreamName]identifier.Offset),
+		gone:      make(map[identifier.UpstreamName]identifier.Offset),
+		upto:      identifier.NoOffset,
+		floor:     identifier.NoOffset,
 	}
 }
 
-// Read notes a successful reading of the list. Whole says that all entries
-// have been seen.
-func (r *Registrar) Read(whole bool) {
+// Read notes that the list is known up to an offset, as of a time ago. Whole
+// says that all entries have been seen.
+func (r *Registrar) Read(upto identifier.Offset, age time.Duration, whole bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	if !r.readAt.IsZero() && now.Sub(r.readAt) > outageAfter+r.interval() {
 		r.returnedAt = now
 	}
-	r.readAt = now
-	r.whole = r.whole || whole
+	at := now.Add(-age)
+	if at.After(r.readAt) {
+		r.readAt = at
+	}
+	r.upto = max(r.upto, upto)
+	if whole && !r.whole {
+		r.whole = true
+		r.floor = r.upto
+	}
+}
+
+// Upto returns the offset up to which the list is known.
+func (r *Registrar) Upto() identifier.Offset {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.whole {
+		return identifier.NoOffset
+	}
+	return r.upto
+}
+
+// Feed is what changed in the list of upstreams.
+type Feed struct {
+	Upto identifier.Offset
+	Age  time.Duration
+	// Whole says that the entries are all that there are.
+	Whole   bool
+	Entries []Entry
+	Gone    []Gone
+}
+
+// Gone is an upstream that left the list.
+type Gone struct {
+	Name   identifier.UpstreamName
+	Offset identifier.Offset
+}
+
+// Since returns what changed after an offset, and nil where this daemon has
+// nothing to tell.
+func (r *Registrar) Since(after identifier.Offset) *Feed {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.whole || r.upto < after {
+		return nil
+	}
+	feed := &Feed{Upto: r.upto, Age: r.clock.Since(r.readAt), Whole: after < r.floor}
+	for name, entry := range r.entries {
+		if feed.Whole || r.changedAt[name] >= after {
+			feed.Entries = append(feed.Entries, entry)
+		}
+	}
+	for name, offset := range r.gone {
+		if offset >= after {
+			feed.Gone = append(feed.Gone, Gone{Name: name, Offset: offset})
+		}
+	}
+	return feed
+}
+
+// Take applies what another daemon read.
+func (r *Registrar) Take(feed Feed) {
+	r.Read(feed.Upto, feed.Age, false)
+	names := make(map[identifier.UpstreamName]bool, len(feed.Entries))
+	for _, entry := range feed.Entries {
+		names[entry.Name] = true
+		r.Put(entry)
+	}
+	for _, gone := range feed.Gone {
+		r.Remove(gone.Name, gone.Offset)
+	}
+	if feed.Whole {
+		r.Keep(names, feed.Upto)
+	}
+	r.Read(feed.Upto, feed.Age, feed.Whole)
 }
 
 // interval is the longest time between two readings in normal times.
@@ -124,29 +212,32 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old, known := r.entries[entry.Name]
-	if known && old.Offset > entry.Offset {
+	left, isGone := r.gone[entry.Name]
+	if (known && old.Offset > entry.Offset) || (isGone && left > entry.Offset) {
 		return
 	}
+	delete(r.gone, entry.Name)
 	for name, other := range r.entries {
 		if name != entry.Name && other.Address == entry.Address && other.Offset < entry.Offset {
-			delete(r.entries, name)
+			r.drop(name, entry.Offset)
 		}
 	}
 	delete(r.doubted, entry.Name)
 	r.entries[entry.Name] = entry
 	old.Offset = entry.Offset
 	if old != entry {
+		r.changedAt[entry.Name] = entry.Offset
 		r.Changed()
 	}
 }
 
-// Remove takes an upstream off the list. Around an outage of the list the
+// Remove takes an upstream off the list at an offset. Around an outage of the list the
 // upstream may only have lapsed; it is then used a little longer.
-func (r *Registrar) Remove(name identifier.UpstreamName) {
+func (r *Registrar) Remove(name identifier.UpstreamName, offset identifier.Offset) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	entry, known := r.entries[name]
-	if !known {
+	if !known || entry.Offset > offset {
 		return
 	}
 	now := r.clock.Now()
@@ -158,17 +249,37 @@
 		}
 		return
 	}
-	r.drop(name)
+	r.drop(name, offset)
 }
 
-func (r *Registrar) drop(name identifier.UpstreamName) {
+func (r *Registrar) drop(name identifier.UpstreamName, offset identifier.Offset) {
 	delete(r.entries, name)
 	delete(r.doubted, name)
+	delete(r.changedAt, name)
+	r.gone[name] = offset
+	r.expireGone()
 	r.Changed()
 }
 
+// expireGone bounds the memory of upstreams that left.
+func (r *Registrar) expireGone() {
+	if len(r.gone) <= maxGone {
+		return
+	}
+	oldest := identifier.Offset(math.MaxInt64)
+	var name identifier.UpstreamName
+	for candidate, offset := range r.gone {
+		if offset < oldest {
+			oldest = offset
+			name = candidate
+		}
+	}
+	delete(r.gone, name)
+	r.floor = max(r.floor, oldest+1)
+}
+
 // Keep removes all upstreams but those named, after a whole reading.
-func (r *Registrar) Keep(names map[identifier.UpstreamName]bool) {
+func (r *Registrar) Keep(names map[identifier.UpstreamName]bool, offset identifier.Offset) {
 	r.mu.Lock()
 	var missing []identifier.UpstreamName
 	for name := range r.entries {
@@ -178,7 +289,7 @@
 	}
 	r.mu.Unlock()
 	for _, name := range missing {
-		r.Remove(name)
+		r.Remove(name, offset)
 	}
 }
 
@@ -199,7 +310,7 @@
 	for name, entry := range r.entries {
 		until, doubted := r.doubted[name]
 		if doubted && now.After(until) {
-			r.drop(name)
+			r.drop(name, entry.Offset)
 			continue
 		}
 		wrongAt, misplaced := r.moved[name]
