Read the settings again on SIGHUP, and bound the log

Lines were written one by one, without a bound. Change: process/reloader; logger.NewBounded drops successes first and counts. A limit that moves starts with a part of the tolerance, as a new holder cannot know what the last one had left.

--- a/process/commander/commander.go
+++ b/process/commander/commander.go
@@ -19,6 +19,7 @@
 	"sassafraspass.dev/sassafraspass/process/configurer"
 	"sassafraspass.dev/sassafraspass/process/gateway"
 	"sassafraspass.dev/sassafraspass/process/logger"
+	"sassafraspass.dev/sassafraspass/process/reloader"
 	"sassafraspass.dev/sassafraspass/process/server"
 	"sassafraspass.dev/sassafraspass/version/parser"
 	"sassafraspass.dev/sassafraspass/version/publisher"
@@ -124,7 +125,7 @@
 			return err
 		}
 		if settings.Gateway != nil {
-			return c.runGateway(ctx, settings)
+			return c.runGateway(ctx, *path, settings)
 		}
 		log := logger.New(c.err, settings.LogLevel)
 		daemon, cleanup, err := server.New(settings, log, clockwork.NewRealClock())
@@ -136,16 +137,29 @@
 	})
 }
 
-// runGateway runs a daemon that passes requests through on the platform.
-func (c *Commander) runGateway(ctx context.Context, settings configurer.Settings) error {
+// runGateway runs a daemon that passes requests through on the platform. It
+// reads its settings again when they change.
+func (c *Commander) runGateway(ctx context.Context, path string, settings configurer.Settings) error {
 	drivers, closeDrivers := platform.Drivers(settings.Log)
 	defer closeDrivers()
-	log := logger.New(c.out, settings.LogLevel)
-	daemon, cleanup, err := gateway.New(settings, drivers, log, clockwork.NewRealClock())
+	clock := clockwork.NewRealClock()
+	log, closeLog := logger.NewBounded(c.out, settings.LogLevel, settings.Gateway.LogLines, clock)
+	defer closeLog()
+	daemon, cleanup, err := gateway.New(settings, drivers, log, clock)
 	if err != nil {
 		return err
 	}
 	defer cleanup()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watcher := &reloader.Reloader{
+		Path:  path,
+		Apply: daemon.Reload,
+		Clock: clock,
+		Log:   logger.For(log, logger.Process),
+	}
+	stopWatching := watcher.Start(ctx)
+	defer stopWatching()
 	return daemon.Run(ctx)
 }
 
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -137,7 +137,7 @@
 func (g *Gateway) widened(workspaces map[identifier.WorkspaceName]parser.Workspace) map[identifier.WorkspaceName]parser.Workspace {
 	wide := make(map[identifier.WorkspaceName]parser.Workspace, len(workspaces))
 	for name, workspace := range workspaces {
-		workspace.Burst += tolerance(*g.settings.Gateway, workspace, burstShare)
+		workspace.Burst += tolerance(*g.current().Gateway, workspace, burstShare)
 		wide[name] = workspace
 	}
 	return wide
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -63,10 +63,12 @@
 	majorityWithin = 1600 * time.Millisecond
 	silenceProves  = 2600 * time.Millisecond
 	// burstShare is the part of the deployment's tolerance that widens the
-	// bursts, and deputyShare the part for when a limit's holder is out of
-	// reach. The rest covers what both cannot see.
+	// bursts, creditShare the part that a limit's new holder starts with, and
+	// deputyShare the part for when the holder is out of reach. Together they
+	// stay below all of it.
 	burstShare  = 0.5
-	deputyShare = 0.35
+	creditShare = 0.2
+	deputyShare = 0.25
 )
 
 // Handler answers HTTP requests.
@@ -126,7 +128,7 @@
 type Gateway struct {
 	*fleet.Fleet
 
-	settings  configurer.Settings
+	settings  atomic.Pointer[configurer.Settings]
 	drivers   Drivers
 	listeners listeners
 	metrics   http.Handler
@@ -135,6 +137,7 @@
 	placer    *placer.Placer
 	broker    *broker.Broker
 	taker     *taker.Taker
+	retries   *budgeter.Budgeter
 	exchanger *exchanger.Exchanger
 	ejector   *ejector.Ejector
 	carrier   *carrier.Carrier
@@ -171,11 +174,11 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Gateway.MemoryMiB<<20)))
 	}
 	g = &Gateway{
-		settings: settings,
-		drivers:  drivers,
-		changed:  make(chan struct{}, 1),
-		roster:   newRoster(clock.Now()),
+		drivers: drivers,
+		changed: make(chan struct{}, 1),
+		roster:  newRoster(clock.Now()),
 	}
+	g.settings.Store(&settings)
 	g.routes.Store(router.New(nil))
 	closeListeners, err := g.listen()
 	closers = append(closers, closeListeners)
@@ -216,11 +219,11 @@
 		address identifier.Address
 		into    *net.Listener
 	}{
-		{g.settings.Callers, &g.listeners.callers},
-		{g.settings.Peers, &g.listeners.peers},
-		{g.settings.Operators, &g.listeners.operators},
-		{g.settings.Gateway.Readiness, &g.listeners.readiness},
-		{g.settings.Gateway.Directory, &g.listeners.directory},
+		{g.current().Callers, &g.listeners.callers},
+		{g.current().Peers, &g.listeners.peers},
+		{g.current().Operators, &g.listeners.operators},
+		{g.current().Gateway.Readiness, &g.listeners.readiness},
+		{g.current().Gateway.Directory, &g.listeners.directory},
 	}
 	for _, target := range targets {
 		l, err := config.Listen(context.Background(), "tcp", string(target.address))
@@ -241,6 +244,9 @@
 	f.Allotter.SilenceProves = silenceProves
 	f.Limiter.IsCurrent = func() bool { return f.Confirmer.IsCurrent() && f.HearsMajority(majorityWithin) }
 	f.IsPrepared = func() bool { return g.registrar.IsWhole() }
+	f.Limiter.Credit = func(name identifier.WorkspaceName) float64 {
+		return float64(tolerance(*g.current().Gateway, g.Follower.Version().Workspaces[name], creditShare))
+	}
 	f.Allotter.MaxMembers = maxHubs
 	f.Heartbeat.Targets = g.targets
 	f.Extend = g.extendBeat
@@ -254,7 +260,8 @@
 	x, closeExchanger := exchanger.New(tools.Clock)
 	x.IsOwn = g.drivers.IsOwnAnswer
 	g.exchanger = x
-	g.ejector = ejector.New(tools.Clock, g.settings.Zone)
+	g.ejector = ejector.New(tools.Clock, g.current().Zone)
+	g.wireRetries(tools)
 	g.wireTaker(tools)
 	g.wireBroker(tools)
 	g.carrier = &carrier.Carrier{
@@ -263,7 +270,7 @@
 		Registrar: g.registrar,
 		Admitter:  f.Admitter,
 		Take:      g.taker.Take,
-		Budget:    g.budget(tools.Clock),
+		Budget:    g.retries,
 		Ejector:   g.ejector,
 		Places:    carrier.Places{Place: g.broker.Acquire, Report: g.broker.Reported, NextKey: g.nextKey},
 		Exchanger: x,
@@ -287,8 +294,8 @@
 		workspace, ok := g.Follower.Version().Workspaces[name]
 		return workspace, ok
 	}
-	g.taker.Tolerance = func(w parser.Workspace) identifier.Tokens { return tolerance(*g.settings.Gateway, w, deputyShare) }
-	g.taker.Window = g.settings.Gateway.LimitWindow
+	g.taker.Tolerance = func(w parser.Workspace) identifier.Tokens { return tolerance(*g.current().Gateway, w, deputyShare) }
+	g.taker.Window = g.current().Gateway.LimitWindow
 	g.taker.Clock = tools.Clock
 	g.taker.Log = logger.For(tools.Log, logger.Shares)
 }
@@ -305,28 +312,23 @@
 	g.broker.Meter = tools.Meter
 }
 
-func (g *Gateway) budget(clock clockwork.Clock) *budgeter.Budgeter {
-	b := budgeter.New(clock, budgeter.Bounds{
-		Ratio:  g.settings.Gateway.RetryRatio,
-		Extra:  g.settings.Gateway.RetryExtra,
-		Window: g.settings.Gateway.RetryWindow,
-	})
-	b.Daemons = func() int { return max(len(g.Members.Live())+1, len(g.Epocher.Current().Members)) }
-	return b
+func (g *Gateway) wireRetries(tools fleet.Tools) {
+	g.retries = budgeter.New(tools.Clock, retryBounds(*g.current().Gateway))
+	g.retries.Daemons = func() int { return max(len(g.Members.Live())+1, len(g.Epocher.Current().Members)) }
 }
 
 func (g *Gateway) identity() fleet.Identity {
 	return fleet.Identity{
 		Self: epocher.Member{
 			Incarnation: identifier.Incarnation(ulid.Make().String()),
-			VM:          g.settings.VM,
+			VM:          g.current().VM,
 			Peer:        identifier.Address(g.listeners.peers.Addr().String()),
 		},
-		Zone:     g.settings.Zone,
+		Zone:     g.current().Zone,
 		Caller:   identifier.Address(g.listeners.callers.Addr().String()),
 		Operator: identifier.Address(g.listeners.operators.Addr().String()),
-		Seeds:    g.settings.Seeds,
-		Weight:   g.settings.Gateway.CPUShare,
+		Seeds:    g.current().Seeds,
+		Weight:   g.current().Gateway.CPUShare,
 	}
 }
 
@@ -367,10 +369,10 @@
 	serveOn(&group, newServer(g.peerHandler()), g.listeners.peers)
 	serveOn(&group, newServer(g.operatorHandler()), g.listeners.operators)
 	serveOn(&group, newServer(g.drivers.ReadyHandler(g.isServing)), g.listeners.readiness)
-	serveOn(&group, newServer(g.drivers.DirectoryEntry(g.addresses, g.settings.EntryMaxAge)), g.listeners.directory)
+	serveOn(&group, newServer(g.drivers.DirectoryEntry(g.addresses, g.current().EntryMaxAge)), g.listeners.directory)
 	stopCtx, cancel := context.WithCancel(context.Background())
 	group.Add(func() error { return g.awaitStop(ctx, stopCtx) }, func(error) { cancel() })
-	g.Log.Info("Started.", "vm", g.settings.VM, "incarnation", g.Identity.Self.Incarnation, "callers", g.settings.Callers)
+	g.Log.Info("Started.", "vm", g.current().VM, "incarnation", g.Identity.Self.Incarnation, "callers", g.current().Callers)
 	err := group.Run()
 	g.Log.Info("Stopped.", "err", err)
 	return err
--- a/process/gateway/hubs.go
+++ b/process/gateway/hubs.go
@@ -81,7 +81,7 @@
 			addresses = append(addresses, listed.Peer)
 		}
 	}
-	return append(addresses, g.settings.Seeds...)
+	return append(addresses, g.current().Seeds...)
 }
 
 // mark tells a receiver what this daemon has already.
--- a/process/gateway/list.go
+++ b/process/gateway/list.go
@@ -73,8 +73,8 @@
 
 func (g *Gateway) ownVM() appender.VM {
 	return appender.VM{
-		Name:     g.settings.VM,
-		Zone:     g.settings.Zone,
+		Name:     g.current().VM,
+		Zone:     g.current().Zone,
 		State:    appender.VMLive,
 		Peer:     g.Identity.Self.Peer,
 		Operator: g.Identity.Operator,
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	others := slices.DeleteFunc(slices.Clone(vms), func(vm appender.VM) bool { return vm.Name == g.settings.VM })
+	others := slices.DeleteFunc(slices.Clone(vms), func(vm appender.VM) bool { return vm.Name == g.current().VM })
 	log := logger.For(g.Log, logger.Members)
 	if !slices.Contains(vms, g.ownVM()) && !g.Leaving.Load() {
 		err := g.putOnList(ctx)
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -73,7 +73,7 @@
 	}
 	var all []ranked
 	if g.isServing() {
-		all = append(all, ranked{weight: placeWeight(service, g.settings.VM)})
+		all = append(all, ranked{weight: placeWeight(service, g.current().VM)})
 	}
 	for _, member := range g.Members.Live() {
 		if member.State != heartbeater.StateServing {
@@ -166,7 +166,7 @@
 // Status returns what this daemon knows.
 func (g *Gateway) Status() Status {
 	status := Status{
-		VM:        g.settings.VM,
+		VM:        g.current().VM,
 		State:     g.State(),
 		Current:   g.Confirmer.IsCurrent(),
 		Version:   g.Follower.Version().Number,
--- a/request/budgeter/budgeter.go
+++ b/request/budgeter/budgeter.go
@@ -61,6 +61,16 @@
 	}
 }
 
+// Bound changes the bounds. Another window begins without counts.
+func (b *Budgeter) Bound(bounds Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if bounds.Window != b.bounds.Window {
+		clear(b.services)
+	}
+	b.bounds = bounds
+}
+
 // Requested counts a caller's request for a service.
 func (b *Budgeter) Requested(service identifier.ServiceName) {
 	b.mu.Lock()
--- a/request/carrier/carrier.go
+++ b/request/carrier/carrier.go
@@ -18,6 +18,7 @@
 
 	"sassafraspass.dev/sassafraspass/connection/exchanger"
 	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/logger"
 	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/process/registrar"
 	"sassafraspass.dev/sassafraspass/refuser"
@@ -193,7 +194,7 @@
 		c.Log.Info("Cut.", "id", req.ID, "route", j.route.Name, "upstream", j.upstream, "hops", j.hops, "ms", c.millisSince(req.Arrived), "err", err)
 	default:
 		c.Meter.Event(meter.EventAnswer)
-		c.Log.Info("Answered.", "id", req.ID, "route", j.route.Name, "workspace", j.workspace.Name, "tokens", weigh(j.req, j.workspace), "status", j.w.status, "upstream", j.upstream, "hops", j.hops, "ms", c.millisSince(req.Arrived))
+		c.Log.Log(ctx, logger.Success, "Answered.", "id", req.ID, "route", j.route.Name, "workspace", j.workspace.Name, "tokens", weigh(j.req, j.workspace), "status", j.w.status, "upstream", j.upstream, "hops", j.hops, "ms", c.millisSince(req.Arrived))
 	}
 	return refusal, err
 }
--- a/request/carrier/stream.go
+++ b/request/carrier/stream.go
@@ -12,6 +12,7 @@
 
 	"sassafraspass.dev/sassafraspass/connection/exchanger"
 	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/logger"
 	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/process/registrar"
 	"sassafraspass.dev/sassafraspass/refuser"
@@ -107,7 +108,7 @@
 		}
 		return refusal, false, nil
 	}
-	c.Log.Info("Placed.", "id", f.req.ID, "prefill", grant.Prefill, "decode", grant.Decode, "waited-ms", grant.Waited.Milliseconds(), "fill", grant.Fill)
+	c.Log.Log(ctx, logger.Success, "Placed.", "id", f.req.ID, "prefill", grant.Prefill, "decode", grant.Decode, "waited-ms", grant.Waited.Milliseconds(), "fill", grant.Fill)
 	report := placer.Report{Key: f.ask.Key, Step: placer.StepEnded}
 	defer func() { c.Places.Report(f.service.Name, report) }()
 	prefill, decode, ok := c.pair(f, grant)
--- a/request/limiter/limiter.go
+++ b/request/limiter/limiter.go
@@ -46,6 +46,10 @@
 	// that was paused or cut off may have been left out of a newer one.
 	IsCurrent func() bool
 
+	// Credit, if set, returns the tokens with which a whole limit starts at a
+	// new holder, as what its last holder had left is not known.
+	Credit func(workspace identifier.WorkspaceName) float64
+
 	clock  clockwork.Clock
 	assert *asserter.Asserter
 	// short carries the workspaces that lack tokens to the borrower.
@@ -197,7 +201,17 @@
 	now := l.clock.Now()
 	for _, b := range l.buckets {
 		b.advance(now)
-		b.setShare(l.baseOf(b.workspace))
+		l.raise(b)
+	}
+}
+
+// raise gives a bucket its base share.
+func (l *Limiter) raise(b *bucket) {
+	before := b.share
+	b.setShare(l.baseOf(b.workspace))
+	isNewHolder := before == 0 && b.share == identifier.WholeParts
+	if isNewHolder && l.Credit != nil {
+		b.receive(0, l.Credit(b.workspace))
 	}
 }
 
