--- /dev/null
+++ b/process/registrar/registrar_test.go
@@ -0,0 +1,136 @@
+package registrar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+)
+
+func entry(name, address string, offset int64) Entry {
+	return Entry{
+		Name:    identifier.UpstreamName(name),
+		Service: "s",
+		Address: identifier.Address(address),
+		State:   StateReady,
+		Offset:  identifier.Offset(offset),
+	}
+}
+
+func names(entries []Entry) (all []string) {
+	for _, e := range entries {
+		all = append(all, string(e.Name))
+	}
+	return all
+}
+
+func newRead(clock clockwork.Clock, entries ...Entry) *Registrar {
+	r := New(clock)
+	r.Read(0, 0, false)
+	for _, e := range entries {
+		r.Put(e)
+	}
+	r.Read(10, 0, true)
+	return r
+}
+
+func TestUpstreamsThatDrainOrLeaveGetNoNewWork(t *testing.T) {
+	is := is.New(t)
+	r := newRead(clockwork.NewFakeClock(), entry("a", "1", 1), entry("b", "2", 2), entry("c", "3", 3))
+	draining := entry("a", "1", 11)
+	draining.State = StateDraining
+	r.Put(draining)
+	r.Remove("b", 12)
+	is.Equal(names(r.Ready("s")), []string{"c"})
+	is.Equal(names(r.All()), []string{"a", "c"})
+}
+
+func TestOlderRecordsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	r := newRead(clockwork.NewFakeClock(), entry("a", "1", 5))
+	draining := entry("a", "1", 4)
+	draining.State = StateDraining
+	r.Put(draining)
+	r.Remove("a", 3)
+	is.Equal(names(r.Ready("s")), []string{"a"})
+	r.Remove("a", 7)
+	r.Put(entry("a", "1", 6))
+	is.Equal(len(r.Ready("s")), 0)
+}
+
+func TestNewUpstreamAtAnAddressReplacesTheOld(t *testing.T) {
+	is := is.New(t)
+	r := newRead(clockwork.NewFakeClock(), entry("old", "1", 1))
+	r.Put(entry("new", "1", 2))
+	is.Equal(names(r.Ready("s")), []string{"new"})
+}
+
+func TestMisplacedUpstreamWaitsForANewerRecord(t *testing.T) {
+	is := is.New(t)
+	e := entry("a", "1", 1)
+	r := newRead(clockwork.NewFakeClock(), e)
+	r.Misplaced(e)
+	is.Equal(len(r.Ready("s")), 0)
+	r.Put(entry("a", "1", 2))
+	is.Equal(len(r.Ready("s")), 1)
+}
+
+func TestUpstreamsThatLapseInAnOutageAreUsedUntilTheGraceIsOver(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	r := newRead(clock, entry("back", "1", 1), entry("gone", "2", 2))
+	clock.Advance(6 * time.Second)
+	r.Read(11, 0, false)
+	r.Remove("back", 12)
+	r.Remove("gone", 13)
+	is.Equal(len(r.Ready("s")), 2)
+	clock.Advance(time.Second)
+	r.Read(14, 0, false)
+	r.Put(entry("back", "1", 14))
+	clock.Advance(1100 * time.Millisecond)
+	is.Equal(names(r.Ready("s")), []string{"back"})
+}
+
+func TestRemovalInNormalTimesIsImmediate(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	r := newRead(clock, entry("a", "1", 1))
+	clock.Advance(ReadInterval + ReadWait)
+	r.Read(11, 0, false)
+	r.Remove("a", 11)
+	is.Equal(len(r.Ready("s")), 0)
+}
+
+func TestFeedBringsAnotherRegistrarUpToDate(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	hub := newRead(clock, entry("a", "1", 1), entry("b", "2", 2))
+	other := New(clock)
+	is.True(New(clock).Since(identifier.NoOffset) == nil) // nothing read yet
+	other.Take(*hub.Since(other.Upto()))
+	is.Equal(names(other.Ready("s")), []string{"a", "b"})
+	is.True(other.IsWhole())
+	hub.Put(entry("a", "1", 15)) // only its own count has changed
+	hub.Put(entry("c", "3", 16))
+	hub.Remove("b", 17)
+	hub.Read(18, 0, false)
+	feed := hub.Since(other.Upto())
+	is.Equal(names(feed.Entries), []string{"c"})
+	other.Take(*feed)
+	is.Equal(names(other.Ready("s")), []string{"a", "c"})
+	is.Equal(other.Upto(), identifier.Offset(18))
+}
+
+func TestAgesOfRelayedListsAddUp(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	hub := newRead(clock, entry("a", "1", 1))
+	clock.Advance(900 * time.Millisecond)
+	other := New(clock)
+	other.Take(*hub.Since(identifier.NoOffset))
+	clock.Advance(100 * time.Millisecond)
+	is.Equal(other.Age(), time.Second)
+}
--- /dev/null
+++ b/request/budgeter/budgeter_test.go
@@ -0,0 +1,55 @@
+package budgeter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+)
+
+var bounds = Bounds{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
+
+func take(b *Budgeter, tries int) (taken int) {
+	for range tries {
+		if b.Take("s") {
+			taken++
+		}
+	}
+	return taken
+}
+
+func TestFurtherSendsStayWithinThePartOfTheRequests(t *testing.T) {
+	is := is.New(t)
+	b := New(clockwork.NewFakeClock(), bounds)
+	b.Daemons = func() int { return 10 }
+	is.Equal(take(b, 100), 4) // 0.8 of 50 over 10 daemons
+	for range 100 {
+		b.Requested("s")
+	}
+	is.Equal(take(b, 100), 16)
+	is.Equal(b.Take("other"), true) // services are counted apart
+}
+
+func TestEveryWindowIsBounded(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	b := New(clock, bounds)
+	var sent []time.Time
+	for range 400 {
+		clock.Advance(100 * time.Millisecond)
+		if b.Take("s") {
+			sent = append(sent, clock.Now())
+		}
+	}
+	for i, from := range sent {
+		count := 0
+		for _, at := range sent[i:] {
+			if at.Sub(from) < bounds.Window {
+				count++
+			}
+		}
+		is.True(count <= bounds.Extra)
+	}
+	is.True(len(sent) > 100)
+}
--- /dev/null
+++ b/request/taker/taker_test.go
@@ -0,0 +1,147 @@
+package taker
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/asserter"
+	"sassafraspass.dev/sassafraspass/process/logger"
+	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/request/limiter"
+	"sassafraspass.dev/sassafraspass/version/epocher"
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+var workspace = parser.Workspace{Name: "w", Rate: 10_000, Burst: 30_000}
+
+// net connects takers; the names in cut do not answer.
+type net struct {
+	takers map[identifier.Address]*Taker
+	cut    map[identifier.Address]bool
+}
+
+func (n *net) ask(ctx context.Context, home identifier.Address, ask Ask) (Answer, error) {
+	if n.cut[home] {
+		return Answer{}, errors.New("no answer")
+	}
+	return n.takers[home].Serve(ctx, ask), nil
+}
+
+// newFleet returns three takers; the first one's limiter holds the whole limit.
+func newFleet(clock *clockwork.FakeClock) (*net, []*Taker) {
+	members := []epocher.Member{{Incarnation: "i0", Peer: "p0"}, {Incarnation: "i1", Peer: "p1"}, {Incarnation: "i2", Peer: "p2"}}
+	n := &net{takers: make(map[identifier.Address]*Taker), cut: make(map[identifier.Address]bool)}
+	var takers []*Taker
+	for i, member := range members {
+		l := limiter.New(clock, asserter.New(logger.Discard(), meter.NewDetached(), true))
+		l.Configure(map[identifier.WorkspaceName]parser.Workspace{"w": workspace})
+		base := identifier.Parts(0)
+		if i == 0 {
+			base = identifier.WholeParts
+		}
+		l.EnterEpoch(0, base)
+		l.Settle(0)
+		t := New()
+		t.Self = member.Incarnation
+		t.Limiter = l
+		t.Homes = func(identifier.WorkspaceName) []epocher.Member { return members }
+		t.Ask = n.ask
+		t.GiveBack = func(_ context.Context, home identifier.Address, holder identifier.Incarnation, numbers []int64) error {
+			n.takers[home].Returned(holder, numbers)
+			return nil
+		}
+		t.Tolerance = func(parser.Workspace) identifier.Tokens { return 25_000 }
+		t.Window = 8 * time.Second
+		t.Workspace = func(identifier.WorkspaceName) (parser.Workspace, bool) { return workspace, true }
+		t.Clock = clock
+		t.Log = logger.Discard()
+		n.takers[member.Peer] = t
+		takers = append(takers, t)
+	}
+	clock.Advance(time.Minute)
+	return n, takers
+}
+
+// takeAll lets the takers take requests in turn until all are refused.
+func takeAll(takers []*Taker, tokens identifier.Tokens) (granted identifier.Tokens) {
+	for refused := 0; refused < len(takers); {
+		refused = 0
+		for _, t := range takers {
+			_, refusal := t.Take(context.Background(), workspace, tokens)
+			if refusal != nil {
+				refused++
+				continue
+			}
+			granted += tokens
+		}
+	}
+	return granted
+}
+
+// TestLargeRequestsUseTheWholeBurst names the pattern: requests of a third of
+// the burst arrive at every daemon. Divided shares could serve none of them.
+func TestLargeRequestsUseTheWholeBurst(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	_, takers := newFleet(clock)
+	is.Equal(takeAll(takers, 10_000), identifier.Tokens(30_000))
+}
+
+func TestRefusalTellsWhenTheTokensWillBeThere(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	_, takers := newFleet(clock)
+	takeAll(takers, 10_000)
+	_, refusal := takers[1].Take(context.Background(), workspace, 20_000)
+	is.Equal(refusal.Code, refuser.OverLimit)
+	is.True(refusal.NotRun)
+	is.True(refusal.RetryAfter >= 2*time.Second)
+	is.True(refusal.RetryAfter < 2500*time.Millisecond)
+}
+
+func TestDeputyAdmitsWithinTheToleranceWhileTheHomeIsAway(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	n, takers := newFleet(clock)
+	n.cut["p0"] = true
+	others := takers[1:]
+	is.Equal(takeAll(others, 5_000), identifier.Tokens(25_000))
+	clock.Advance(4 * time.Second)
+	is.Equal(takeAll(others, 5_000), identifier.Tokens(0))
+	clock.Advance(5 * time.Second)
+	is.Equal(takeAll(others, 5_000), identifier.Tokens(25_000))
+}
+
+func TestTokensOfRequestsThatDidNotRunComeBack(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	_, takers := newFleet(clock)
+	claim, refusal := takers[0].Take(context.Background(), workspace, 30_000)
+	is.True(refusal == nil)
+	claim.NotRun()
+	_, refusal = takers[0].Take(context.Background(), workspace, 30_000)
+	is.True(refusal == nil)
+}
+
+func TestSmallRequestsAskTheHomeSeldom(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	n, takers := newFleet(clock)
+	asked := 0
+	takers[1].Ask = func(ctx context.Context, home identifier.Address, ask Ask) (Answer, error) {
+		asked++
+		return n.ask(ctx, home, ask)
+	}
+	for range 20 {
+		_, refusal := takers[1].Take(context.Background(), workspace, 200)
+		is.True(refusal == nil)
+	}
+	is.Equal(asked, 4)
+}
