--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -126,7 +126,7 @@
 		return nil, &SendError{Err: fmt.Errorf("connect to %s: %w", address, err)}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	resp, err := x.roundTrip(c, message)
+	resp, err := x.roundTrip(c, message) //nolint:bodyclose // the answer's body closes it
 	if err != nil {
 		stop()
 		_ = c.Close()
--- a/connection/messenger/takes.go
+++ b/connection/messenger/takes.go
@@ -137,20 +137,24 @@
 		Patience:  time.Duration(msg.GetPatienceMs()) * time.Millisecond,
 		Avoid:     fromStrings[identifier.UpstreamName](msg.GetAvoid()),
 	})
+	return connect.NewResponse(encodePlacement(grant, refusal)), nil
+}
+
+func encodePlacement(grant placer.Grant, refusal *refuser.Refusal) *peerv1.PlaceResponse {
 	if refusal != nil {
-		return connect.NewResponse(&peerv1.PlaceResponse{
+		return &peerv1.PlaceResponse{
 			RefusalCode:         string(refusal.Code),
 			RefusalStatus:       int32(refusal.Status),
 			RefusalMessage:      refusal.Message,
 			RefusalRetryAfterMs: refusal.RetryAfter.Milliseconds(),
-		}), nil
+		}
 	}
-	return connect.NewResponse(&peerv1.PlaceResponse{
+	return &peerv1.PlaceResponse{
 		Prefill:  string(grant.Prefill),
 		Decode:   string(grant.Decode),
 		WaitedMs: grant.Waited.Milliseconds(),
 		Fill:     grant.Fill,
-	}), nil
+	}
 }
 
 // ReportPlacements answers peer.v1.Peer.ReportPlacements.
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -263,8 +263,9 @@
 // areSharesKnown reports whether this daemon can admit requests: with its own
 // shares, or at the members that hold the whole limits.
 func (f *Fleet) areSharesKnown() bool {
-	if f.WholeLimits {
-		return len(f.Epocher.Current().Members) > 0
+	epoch := f.Epocher.Current()
+	if f.WholeLimits && len(epoch.Members) > 0 && !epoch.Has(f.Identity.Self.Incarnation) {
+		return true
 	}
 	return f.Limiter.IsSettled()
 }
--- a/process/fleet/members.go
+++ b/process/fleet/members.go
@@ -1,13 +1,12 @@
 package fleet
 
 import (
+	"context"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"context"
-
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/confirmer"
 	"sassafraspass.dev/sassafraspass/process/heartbeater"
--- a/request/carrier/plain.go
+++ b/request/carrier/plain.go
@@ -48,10 +48,24 @@
 	if len(upstreams) == 0 {
 		return refuser.New(http.StatusServiceUnavailable, refuser.NoUpstream, "service %s has no server now", j.service.Name).After(shortRetryAfter), nil
 	}
+	last := c.tryInTurn(ctx, j, upstreams)
+	if last.err == nil && !last.notRun {
+		return nil, c.deliver(j, last)
+	}
+	last.close()
+	if last.notRun && !j.ran {
+		return c.unserved(ctx, j, refuser.QueueFull, "the service is full"), nil
+	}
+	return c.unserved(ctx, j, refuser.UpstreamFailed, "the service did not answer"), nil
+}
+
+// tryInTurn sends a request to upstreams until one answers well, and returns
+// the last result.
+func (c *Carrier) tryInTurn(ctx context.Context, j *job, upstreams []registrar.Entry) (last result) {
 	isRepeatable := j.route.Kind == parser.RouteRepeatable
 	runs := 0
-	var last result
 	for hop := 0; hop < maxHops && ctx.Err() == nil; hop++ {
+		last.close()
 		upstream := upstreams[hop%len(upstreams)]
 		mayGoOn := hop+1 < maxHops && isRepeatable && runs+1 < j.route.Attempts && len(upstreams) > 1
 		last = c.plainHop(ctx, j, upstream, upstreams, mayGoOn)
@@ -59,29 +73,27 @@
 			runs++
 		}
 		if !last.isFailure() && !last.notRun {
-			return nil, c.deliver(j, last)
+			return last
 		}
 		reason := retryReason(last)
 		c.Log.Info("A hop failed.", "id", j.req.ID, "upstream", upstream.Name, "reason", reason, "not-run", last.notRun, "status", last.status(), "err", last.err)
 		mayRepeat := last.notRun || (isRepeatable && runs < j.route.Attempts)
-		if !mayRepeat || hop+1 == maxHops || ctx.Err() != nil {
-			break
-		}
-		if !c.Budget.Take(j.service.Name) {
-			c.Meter.Retry(meter.RetryBudgetIsGone)
-			break
+		isLast := !mayRepeat || hop+1 == maxHops || ctx.Err() != nil
+		if isLast || !c.mayRetry(j, reason) {
+			return last
 		}
-		c.Meter.Retry(reason)
-		last.close()
-	}
-	if last.err == nil && !last.notRun {
-		return nil, c.deliver(j, last)
 	}
-	last.close()
-	if last.notRun && !j.ran {
-		return c.unserved(ctx, j, refuser.QueueFull, "the service is full"), nil
-	}
-	return c.unserved(ctx, j, refuser.UpstreamFailed, "the service did not answer"), nil
+	return last
+}
+
+// mayRetry spends a further send from the budget.
+func (c *Carrier) mayRetry(j *job, reason meter.RetryReason) bool {
+	if !c.Budget.Take(j.service.Name) {
+		c.Meter.Retry(meter.RetryBudgetIsGone)
+		return false
+	}
+	c.Meter.Retry(reason)
+	return true
 }
 
 func (r result) status() int {
--- a/request/taker/taker.go
+++ b/request/taker/taker.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"sync"
 	"time"
 
@@ -166,8 +167,11 @@
 		ask.Tokens = tokens
 		answer, home = t.ask(ctx, ask)
 	}
+	if !answer.Home {
+		return nil, refuser.New(http.StatusServiceUnavailable, refuser.NotCurrent, "%s", answer.Reason).After(answer.RetryAfter)
+	}
 	if !answer.Granted {
-		return nil, refuser.New(429, refuser.OverLimit, "%s", answer.Reason).After(answer.RetryAfter)
+		return nil, refuser.New(http.StatusTooManyRequests, refuser.OverLimit, "%s", answer.Reason).After(answer.RetryAfter)
 	}
 	if isSmall {
 		t.addFloat(workspace.Name, ask.Tokens-tokens)
