Serve callers better while a limit's holder is gone or a daemon is cut off

Ruled out: engines (3 refusals for lack of room). Change: silent homes are skipped; a daemon that is out of the epoch and hears no hub is not ready; a minority takes over limits after 15 s only; small requests go first in a limit's line; hubs exchange beats each 400 ms.

--- a/process/allotter/allotter.go
+++ b/process/allotter/allotter.go
@@ -55,12 +55,18 @@
 	MaxMembers int
 	// IsIdle reports that others decide who the members are; nil for never.
 	IsIdle func() bool
-	// SelfBeat describes this daemon as its beats do.
+	// SelfBeat describes this daemon as its beats do; nil where MaxMembers is
+	// zero.
 	SelfBeat func() heartbeater.Beat
 	// SilenceProves is the silence after which a member counts as gone; zero
 	// for never. It needs members that stop admitting sooner by themselves
 	// when they do not hear a majority of the epoch.
 	SilenceProves time.Duration
+	// HearsMajority reports whether this daemon hears a majority of the epoch.
+	// One that does not may be the one that is cut off; silence proves
+	// something to it after MinoritySilence only.
+	HearsMajority   func() bool
+	MinoritySilence time.Duration
 	// Rejoins says that a daemon that was left out joins the next epoch
 	// instead of telling Removed. Its shares end with the epoch without it.
 	Rejoins bool
@@ -197,7 +203,7 @@
 		}
 	}
 	if a.IsJoining() && !epoch.Has(a.Self.Incarnation) && !a.wasMember {
-		candidates = append(candidates, a.SelfBeat())
+		candidates = append(candidates, a.selfBeat())
 	}
 	if a.MaxMembers > 0 {
 		candidates = a.choose(candidates, epoch, max(0, a.MaxMembers-staying))
@@ -208,6 +214,13 @@
 	return joining
 }
 
+func (a *Allotter) selfBeat() heartbeater.Beat {
+	if a.SelfBeat != nil {
+		return a.SelfBeat()
+	}
+	return heartbeater.Beat{Incarnation: a.Self.Incarnation, VM: a.Self.VM, Peer: a.Self.Peer}
+}
+
 // choose picks candidates by weight, from the zones with the fewest members.
 func (a *Allotter) choose(candidates []heartbeater.Beat, epoch epocher.Epoch, count int) (chosen []heartbeater.Beat) {
 	inZone := make(map[identifier.ZoneName]int)
@@ -246,8 +259,14 @@
 
 func (a *Allotter) proof(member epocher.Member) heartbeater.GoneProof {
 	proof := a.Members.Proof(member)
-	isSilent := a.SilenceProves > 0 && member.Incarnation != a.Self.Incarnation && a.Members.SilentFor(member) > a.SilenceProves
-	if isSilent && (proof == heartbeater.ProofNone || proof == heartbeater.ProofUnlisted) {
+	if a.SilenceProves == 0 || member.Incarnation == a.Self.Incarnation {
+		return proof
+	}
+	proves := a.SilenceProves
+	if !a.HearsMajority() {
+		proves = a.MinoritySilence
+	}
+	if a.Members.SilentFor(member) > proves && (proof == heartbeater.ProofNone || proof == heartbeater.ProofUnlisted) {
 		return heartbeater.ProofSilent
 	}
 	return proof
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -60,15 +60,21 @@
 	// majorityWithin is how lately a majority must be heard for a daemon to
 	// admit requests, and silenceProves the longer silence after which the
 	// others give its limits to another one.
-	majorityWithin = 1600 * time.Millisecond
-	silenceProves  = 2600 * time.Millisecond
+	majorityWithin = 1200 * time.Millisecond
+	silenceProves  = 1800 * time.Millisecond
+	// minoritySilence is the silence that proves something to a daemon which
+	// hears no majority. It exceeds the usual cuts.
+	minoritySilence = 15 * time.Second
 	// burstShare is the part of the deployment's tolerance that widens the
 	// bursts, creditShare the part that a limit's new holder starts with, and
 	// deputyShare the part for when the holder is out of reach. Together they
 	// stay below all of it.
 	burstShare  = 0.5
 	creditShare = 0.2
-	deputyShare = 0.25
+	deputyShare = 0.2
+	// loneShare is the part that each daemon admits small requests within
+	// when it reaches no other.
+	loneShare = 0.02
 )
 
 // Handler answers HTTP requests.
@@ -243,6 +249,8 @@
 	f.Allotter.IsIdle = func() bool { return !g.isHub() && g.hearsHub() }
 	f.Allotter.Rejoins = true
 	f.Allotter.SilenceProves = silenceProves
+	f.Allotter.MinoritySilence = minoritySilence
+	f.Allotter.HearsMajority = func() bool { return f.HearsMajority(silenceProves) }
 	f.Limiter.IsCurrent = func() bool { return f.Confirmer.IsCurrent() && f.HearsMajority(majorityWithin) }
 	f.IsPrepared = func() bool { return g.registrar.IsWhole() }
 	f.Limiter.Credit = func(name identifier.WorkspaceName) float64 {
@@ -296,6 +304,8 @@
 		return workspace, ok
 	}
 	g.taker.Tolerance = func(w parser.Workspace) identifier.Tokens { return tolerance(*g.current().Gateway, w, deputyShare) }
+	g.taker.LoneTolerance = func(w parser.Workspace) identifier.Tokens { return tolerance(*g.current().Gateway, w, loneShare) }
+	g.taker.IsQuiet = g.isQuiet
 	g.taker.Window = g.current().Gateway.LimitWindow
 	g.taker.Clock = tools.Clock
 	g.taker.Log = logger.For(tools.Log, logger.Shares)
--- a/process/gateway/hubs.go
+++ b/process/gateway/hubs.go
@@ -20,6 +20,8 @@
 const (
 	// maxHubs bounds the members of the epoch.
 	maxHubs = 5
+	// hubInterval is the time between two beats of a hub to another one.
+	hubInterval = 400 * time.Millisecond
 	// beatInterval is the time between two beats of a daemon that is no hub.
 	beatInterval = 200 * time.Millisecond
 	// bootstrapPeers is how many listed daemons are tried while no hub answers.
@@ -50,7 +52,7 @@
 		return append(hubs, g.bootstrap()...), heartbeater.Interval
 	}
 	if g.isHub() {
-		return hubs, heartbeater.Interval
+		return hubs, hubInterval
 	}
 	turn := int(g.turn.Add(1)) % len(hubs)
 	return hubs[turn : turn+1], beatInterval
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -13,6 +13,7 @@
 
 	"sassafraspass.dev/sassafraspass/connection/messenger"
 	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/confirmer"
 	"sassafraspass.dev/sassafraspass/process/heartbeater"
 	"sassafraspass.dev/sassafraspass/process/repeater"
 	"sassafraspass.dev/sassafraspass/request/broker"
@@ -25,7 +26,10 @@
 	maxAddresses = 64
 	// quietAfter is the silence after which a daemon that does not answer is
 	// not waited for.
-	quietAfter = 1300 * time.Millisecond
+	quietAfter = 1800 * time.Millisecond
+	// isolatedReadAge is how lately the store must have been read for a daemon
+	// to know that it is cut off from the others alone.
+	isolatedReadAge = 3 * time.Second
 )
 
 func (g *Gateway) peerHandler() http.Handler {
@@ -127,7 +131,18 @@
 
 // isServing reports whether the daemon takes new work.
 func (g *Gateway) isServing() bool {
-	return g.State() == heartbeater.StateServing
+	return g.State() == heartbeater.StateServing && !g.isIsolated()
+}
+
+// isIsolated reports whether the other daemons go on without this one: it reads
+// an epoch from the store whose members it does not hear. Callers are better
+// served elsewhere then.
+func (g *Gateway) isIsolated() bool {
+	if g.isHub() || len(g.hubs()) == 0 || g.hearsHub() {
+		return false
+	}
+	age := g.Confirmer.LogAge()
+	return age != confirmer.Never && age < isolatedReadAge
 }
 
 // addresses returns the callers' addresses of the daemons that are ready, in
--- a/process/heartbeater/heartbeater.go
+++ b/process/heartbeater/heartbeater.go
@@ -21,7 +21,7 @@
 	exchangeTimeout = time.Second
 	// tickInterval is how often due heartbeats are looked for, and how soon a
 	// refused one is repeated.
-	tickInterval = 250 * time.Millisecond
+	tickInterval = 200 * time.Millisecond
 	listInterval = time.Second
 	listTimeout  = 2 * time.Second
 )
--- a/request/limiter/bucket.go
+++ b/request/limiter/bucket.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"sassafraspass.dev/sassafraspass/identifier"
@@ -11,6 +12,8 @@
 const (
 	// demandHalfLife is how fast the estimate of a workspace's demand decays.
 	demandHalfLife = 5 * time.Second
+	// smallPart is the part of the burst up to which a request is small.
+	smallPart = 0.02
 	// rounding absorbs floating-point error in comparisons of tokens.
 	rounding = 1e-6
 )
@@ -87,6 +90,31 @@
 	}
 }
 
+// isSmall reports whether a request is small against the burst. Small requests
+// go first: many of them fit where one large one has to collect tokens, and
+// they hold it up by little.
+func (b *bucket) isSmall(tokens float64) bool {
+	return tokens <= smallPart*b.burst
+}
+
+// isFirst reports whether nobody waits that goes before a request.
+func (b *bucket) isFirst(tokens float64) bool {
+	return len(b.waiters) == 0 || (b.isSmall(tokens) && !b.isSmall(b.waiters[0].tokens))
+}
+
+// enqueue puts a request in the line, small ones before the others.
+func (b *bucket) enqueue(w *Waiter) {
+	at := len(b.waiters)
+	if b.isSmall(w.tokens) {
+		at = slices.IndexFunc(b.waiters, func(other *Waiter) bool { return !b.isSmall(other.tokens) })
+	}
+	if at < 0 {
+		at = len(b.waiters)
+	}
+	b.waiters = slices.Insert(b.waiters, at, w)
+	b.waiting += w.tokens
+}
+
 func (b *bucket) take(tokens float64) *Reservation {
 	b.level -= tokens
 	r := &Reservation{bucket: b, tokens: tokens, headroom: math.Inf(1)}
--- a/request/limiter/limiter.go
+++ b/request/limiter/limiter.go
@@ -277,15 +277,14 @@
 	b.advance(now)
 	b.addDemand(now, want)
 	w := &Waiter{workspace: workspace, tokens: want, since: now, Granted: make(chan *Reservation, 1)}
-	if len(b.waiters) == 0 && b.level+rounding >= want && l.IsCurrent() {
+	if b.isFirst(want) && b.level+rounding >= want && l.IsCurrent() {
 		w.Granted <- l.take(b, want)
 		return w, nil
 	}
 	if !b.isWorthWaiting(now, want, deadline) {
 		return nil, b.refusal(want, "more is waiting than the rate allows before the deadline")
 	}
-	b.waiters = append(b.waiters, w)
-	b.waiting += want
+	b.enqueue(w)
 	l.announce(workspace)
 	select {
 	case l.wake <- struct{}{}:
--- a/request/limiter/limiter_test.go
+++ b/request/limiter/limiter_test.go
@@ -75,6 +75,32 @@
 	is.True(refusal.NotRun)
 }
 
+// TestSmallRequestsDoNotWaitBehindLargeOnes names the pattern: a workspace far
+// over its rate sends large requests and many small ones.
+func TestSmallRequestsDoNotWaitBehindLargeOnes(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	l := newWholeLimiter(clock)
+	_, refusal := l.Reserve(context.Background(), "w", burst-100)
+	is.True(refusal == nil)
+	large, refusal := l.Queue("w", burst, clock.Now().Add(10*time.Second))
+	is.True(refusal == nil)
+	for range 2 {
+		small, refusal := l.Queue("w", 50, clock.Now().Add(time.Second))
+		is.True(refusal == nil)
+		is.Equal(len(small.Granted), 1)
+	}
+	waiting, refusal := l.Queue("w", 50, clock.Now().Add(time.Second))
+	is.True(refusal == nil)
+	clock.Advance(50 * time.Millisecond)
+	l.PumpAll()
+	is.Equal(len(waiting.Granted), 1)
+	is.Equal(len(large.Granted), 0)
+	clock.Advance(time.Minute)
+	l.PumpAll()
+	is.Equal(len(large.Granted), 1)
+}
+
 func TestRequestsThatCannotBeServedAreRefusedAtOnce(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	l := newWholeLimiter(clock)
--- a/request/taker/taker.go
+++ b/request/taker/taker.go
@@ -35,6 +35,11 @@
 	floatCalls  = 5
 	smallTokens = 500
 	floatLife   = 5 * time.Second
+	// largeShare is the part of a tolerance that large requests may use, so
+	// that some is left for many small ones.
+	largeShare = 0.7
+	// smallWait is MaxWait for small requests, whose objectives are short.
+	smallWait   = 30 * time.Millisecond
 	giveTimeout = time.Second
 )
 
@@ -78,6 +83,11 @@
 	// limit in each Window.
 	Tolerance func(workspace parser.Workspace) identifier.Tokens
 	Window    time.Duration
+	// LoneTolerance is the same for small requests at a daemon that reaches no
+	// other one.
+	LoneTolerance func(workspace parser.Workspace) identifier.Tokens
+	// IsQuiet reports whether a daemon missed its last beats.
+	IsQuiet   func(incarnation identifier.Incarnation) bool
 	Workspace func(name identifier.WorkspaceName) (parser.Workspace, bool)
 
 	Clock clockwork.Clock
@@ -88,7 +98,8 @@
 	avoided  map[identifier.Address]time.Time
 	floats   map[identifier.WorkspaceName]float
 	taken    map[Key]held
-	deputies map[identifier.WorkspaceName]*deputy
+	deputies map[identifier.WorkspaceName]*window
+	lone     map[identifier.WorkspaceName]*window
 }
 
 // float is what was taken ahead for small requests.
@@ -104,8 +115,8 @@
 	until       time.Time
 }
 
-// deputy counts what was admitted without the home.
-type deputy struct {
+// window holds what was admitted lately without the home.
+type window struct {
 	spent []spending
 }
 
@@ -120,7 +131,9 @@
 		avoided:  make(map[identifier.Address]time.Time),
 		floats:   make(map[identifier.WorkspaceName]float),
 		taken:    make(map[Key]held),
-		deputies: make(map[identifier.WorkspaceName]*deputy),
+		deputies: make(map[identifier.WorkspaceName]*window),
+		lone:     make(map[identifier.WorkspaceName]*window),
+		IsQuiet:  func(identifier.Incarnation) bool { return false },
 	}
 }
 
@@ -162,6 +175,9 @@
 		want = floatCalls * tokens
 	}
 	ask := Ask{Key: t.nextKey(), Workspace: workspace.Name, Tokens: want, Wait: MaxWait}
+	if isSmall {
+		ask.Wait = smallWait
+	}
 	answer, home := t.ask(ctx, ask)
 	if !answer.Granted && isSmall && answer.Home {
 		ask.Tokens = tokens
@@ -194,7 +210,7 @@
 		if member.Incarnation == t.Self {
 			answer = t.Serve(ctx, ask)
 			home = ""
-		} else {
+		} else if !t.IsQuiet(member.Incarnation) {
 			answer = t.askPeer(ctx, member.Peer, ask)
 			home = member.Peer
 		}
@@ -202,6 +218,12 @@
 			return answer, home
 		}
 	}
+	if ask.Tokens <= floatCalls*smallTokens {
+		answer = t.serveWithin(ask, t.lone, t.LoneTolerance)
+	}
+	if answer.Home {
+		return answer, ""
+	}
 	return Answer{Reason: "no daemon holds the limit of workspace " + string(ask.Workspace), RetryAfter: time.Second}, ""
 }
 
@@ -256,7 +278,7 @@
 func (t *Taker) Serve(ctx context.Context, ask Ask) Answer {
 	if !t.Limiter.IsHeldWhole(ask.Workspace) {
 		if ask.Deputy {
-			return t.serveAsDeputy(ask)
+			return t.serveWithin(ask, t.deputies, t.Tolerance)
 		}
 		return Answer{}
 	}
@@ -270,34 +292,37 @@
 	return Answer{Granted: true, Home: true}
 }
 
-// serveAsDeputy admits within the tolerance, as the asker cannot reach the home.
-func (t *Taker) serveAsDeputy(ask Ask) Answer {
+// serveWithin admits within a tolerance, as the home cannot be reached.
+func (t *Taker) serveWithin(ask Ask, spent map[identifier.WorkspaceName]*window, tolerance func(parser.Workspace) identifier.Tokens) Answer {
 	workspace, ok := t.Workspace(ask.Workspace)
 	if !ok {
 		return Answer{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d, ok := t.deputies[ask.Workspace]
+	w, ok := spent[ask.Workspace]
 	if !ok {
-		d = &deputy{}
-		t.deputies[ask.Workspace] = d
+		w = &window{}
+		spent[ask.Workspace] = w
 	}
 	now := t.Clock.Now()
-	sum := d.within(now.Add(-t.Window))
-	if sum+ask.Tokens > t.Tolerance(workspace) {
-		return Answer{Home: true, Reason: "the home of workspace " + string(ask.Workspace) + " cannot be reached, and its tolerance is spent", RetryAfter: time.Second}
+	allowed := tolerance(workspace)
+	if ask.Tokens > floatCalls*smallTokens {
+		allowed = identifier.Tokens(largeShare * float64(allowed))
+	}
+	if w.within(now.Add(-t.Window))+ask.Tokens > allowed {
+		return Answer{Home: true, Reason: "the home of workspace " + string(ask.Workspace) + " cannot be reached, and the tolerance is spent", RetryAfter: time.Second}
 	}
-	d.spent = append(d.spent, spending{at: now, tokens: ask.Tokens})
+	w.spent = append(w.spent, spending{at: now, tokens: ask.Tokens})
 	return Answer{Granted: true, Home: true}
 }
 
 // within forgets what was spent before a time and sums up the rest.
-func (d *deputy) within(since time.Time) (sum identifier.Tokens) {
-	for len(d.spent) > 0 && d.spent[0].at.Before(since) {
-		d.spent = d.spent[1:]
+func (w *window) within(since time.Time) (sum identifier.Tokens) {
+	for len(w.spent) > 0 && w.spent[0].at.Before(since) {
+		w.spent = w.spent[1:]
 	}
-	for _, s := range d.spent {
+	for _, s := range w.spent {
 		sum += s.tokens
 	}
 	return sum
