--- a/process/commander/commander.go
+++ b/process/commander/commander.go
@@ -86,7 +86,7 @@
 		Name:        "sassafraspass",
 		FlagSet:     flags,
 		UsageFunc:   func(*ffcli.Command) string { return usage },
-		Subcommands: []*ffcli.Command{c.serve(), c.publish(), c.check(), c.status(), c.demo(), c.standIn()},
+		Subcommands: []*ffcli.Command{c.serve(), c.publish(), c.check(), c.status(), c.explain(), c.demo(), c.standIn()},
 		Exec: func(_ context.Context, args []string) error {
 			if *version {
 				_, _ = fmt.Fprintln(c.out, "sassafraspass", Version)
--- /dev/null
+++ b/process/commander/explain.go
@@ -0,0 +1,58 @@
+package commander
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sassafraspass.dev/sassafraspass/process/explainer"
+)
+
+func (c *Commander) explain() *ffcli.Command {
+	flags := flag.NewFlagSet("explain", flag.ContinueOnError)
+	return c.command("explain", "tell from logs what became of a request", flags, func(_ context.Context, args []string) error {
+		if len(args) < 2 {
+			return fmt.Errorf("%w: name the id of a request and log files", errUsage)
+		}
+		e := explainer.New(args[0])
+		for _, path := range args[1:] {
+			err := readLog(e, path)
+			if err != nil {
+				return err
+			}
+		}
+		explanation, ok := e.Explain()
+		if !ok {
+			return fmt.Errorf("no line names the request %s", args[0])
+		}
+		_, _ = fmt.Fprintln(c.out, "What its daemons believed:")
+		c.printLines(explanation.Beliefs)
+		_, _ = fmt.Fprintln(c.out, "The request:")
+		c.printLines(explanation.Lines)
+		_, _ = fmt.Fprintln(c.out, "Outcome:", explanation.Verdict)
+		return nil
+	})
+}
+
+func (c *Commander) printLines(lines []string) {
+	for _, line := range lines {
+		_, _ = fmt.Fprintln(c.out, "  "+line)
+	}
+}
+
+func readLog(e *explainer.Explainer, path string) (err error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("read log: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	err = e.Read(filepath.Base(path), f)
+	if err != nil {
+		return fmt.Errorf("read log %s: %w", path, err)
+	}
+	return nil
+}
--- a/process/commander/usage.go
+++ b/process/commander/usage.go
@@ -9,6 +9,7 @@
   publish   change the configuration  -log ADDRESS [-new-key WORKSPACE] [-withdraw DIGEST] [FILE]
   check     check files               [-settings FILE] [FILE ...]
   status    ask a daemon              -operators ADDRESS
+  explain   find a request in logs    ID FILE ...
   demo      try it on this machine    [-listen ADDRESS]
   stand-in  run a stand-in            -kind log|prefill|decode|service -listen ADDRESS
 
--- /dev/null
+++ b/process/explainer/explainer_test.go
@@ -0,0 +1,52 @@
+package explainer
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const log = `
+time=2026-01-01T00:00:01.000Z level=INFO msg="config: A version is in force." version=4
+  12.1 vm-2 time=2026-01-01T00:00:02.000Z level=INFO msg="process: An epoch began." epoch=3
+time=2026-01-01T00:00:05.000Z level=INFO msg="request: A hop failed." id=abc upstream=i-1 err="read: \"reset\""
+time=2026-01-01T00:00:05.100Z level=INFO msg="request: Refused." id=abc code=upstream-failed status=502 not-run=false ms=140 reason="the service did not answer" upstream=i-1
+time=2026-01-01T00:00:04.000Z level=INFO msg="request: Answered." id=abcd status=200 upstream=i-2 hops=1 ms=30
+time=2026-01-01T00:00:06.000Z level=INFO msg="request: Cut." id=cut upstream=i-3 ms=900 err="the answer was cut"
+time=2026-01-01T00:00:06.000Z level=INFO msg="request: Placed." id=open decode=i-3
+broken line
+`
+
+func TestRequestIsExplainedFromItsLinesAndWhatItsDaemonBelieved(t *testing.T) {
+	tests := []struct {
+		id      string
+		verdict string
+		lines   int
+	}{
+		{"abc", "refused with status 502 (upstream-failed) after 140 ms: the service did not answer; not run: false", 2},
+		{"abcd", "answered with status 200 by upstream i-2 after 30 ms and 1 hops", 1},
+		{"cut", "cut after 900 ms at upstream i-3: the answer was cut", 1},
+		{"open", "no line ends the request: its daemon stopped, was frozen, or dropped lines", 1},
+	}
+	for _, test := range tests {
+		t.Run(test.id, func(t *testing.T) {
+			is := is.New(t)
+			e := New(test.id)
+			is.NoErr(e.Read("vm-1", strings.NewReader(log)))
+			explanation, ok := e.Explain()
+			is.True(ok)
+			is.Equal(explanation.Verdict, test.verdict)
+			is.Equal(len(explanation.Lines), test.lines)
+			is.Equal(len(explanation.Beliefs), 1) // the other daemon's epoch is not shown
+		})
+	}
+}
+
+func TestUnknownRequestIsNotExplained(t *testing.T) {
+	is := is.New(t)
+	e := New("nobody")
+	is.NoErr(e.Read("vm-1", strings.NewReader(log)))
+	_, ok := e.Explain()
+	is.True(!ok)
+}
