--- a/connection/messenger/bytes_test.go
+++ b/connection/messenger/bytes_test.go
@@ -53,10 +53,10 @@
 		budget          = 12_000 // bytes a second
 		peers           = 7
 		requests        = 25.0 / 8 // a second
-		buddies         = 2
+		replicas        = 2
 		borrowsASecond  = 3
 		beatsPerSecond  = float64(second) / float64(heartbeater.Interval)
-		journalsASecond = requests * buddies
+		journalsASecond = requests * replicas
 	)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/connection/messenger/client.go
+++ b/connection/messenger/client.go
@@ -27,7 +27,7 @@
 	maxMessageBytes = 64 << 20
 )
 
-// Attempt is one attempt at one engine, as a buddy knows it.
+// Attempt is one attempt at one engine, as a replica knows it.
 type Attempt struct {
 	ID       identifier.AttemptID
 	Upstream identifier.UpstreamName
@@ -37,7 +37,7 @@
 // Journal is one batch of changes of a daemon's attempts.
 type Journal struct {
 	Incarnation identifier.Incarnation
-	// Whole says that the batch replaces what the buddy knew.
+	// Whole says that the batch replaces what the replica knew.
 	Whole bool
 	Begun []Attempt
 	Ended []identifier.AttemptID
@@ -109,7 +109,7 @@
 	}, nil
 }
 
-// SendJournal tells a buddy about attempts.
+// SendJournal tells a replica about attempts.
 func (c *Client) SendJournal(ctx context.Context, address identifier.Address, journal Journal) (err error) {
 	defer annotator.Annotate(&err, "journal to %s", address)
 	_, err = c.peer(address).Journal(ctx, connect.NewRequest(encodeJournal(journal)))
--- a/connection/messenger/peerv1/peerv1connect/peer.connect.go
+++ b/connection/messenger/peerv1/peerv1connect/peer.connect.go
@@ -65,7 +65,7 @@
 	// Borrow moves part of a workspace's share. A repeat with the same sequence
 	// number gets the same grant.
 	Borrow(context.Context, *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error)
-	// Journal tells a buddy which attempts a daemon has at engines.
+	// Journal tells a replica which attempts a daemon has at engines.
 	Journal(context.Context, *connect.Request[peerv1.JournalRequest]) (*connect.Response[peerv1.JournalResponse], error)
 	// Acquire waits for a pair of engines with a decode seat taken.
 	Acquire(context.Context, *connect.Request[peerv1.AcquireRequest]) (*connect.Response[peerv1.AcquireResponse], error)
@@ -242,7 +242,7 @@
 	// Borrow moves part of a workspace's share. A repeat with the same sequence
 	// number gets the same grant.
 	Borrow(context.Context, *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error)
-	// Journal tells a buddy which attempts a daemon has at engines.
+	// Journal tells a replica which attempts a daemon has at engines.
 	Journal(context.Context, *connect.Request[peerv1.JournalRequest]) (*connect.Response[peerv1.JournalResponse], error)
 	// Acquire waits for a pair of engines with a decode seat taken.
 	Acquire(context.Context, *connect.Request[peerv1.AcquireRequest]) (*connect.Response[peerv1.AcquireResponse], error)
--- a/connection/messenger/server.go
+++ b/connection/messenger/server.go
@@ -25,7 +25,7 @@
 	Heard func(beat heartbeater.Beat) heartbeater.Beat
 	// Lend answers a borrower.
 	Lend func(req limiter.BorrowRequest) limiter.BorrowResponse
-	// Journalled takes what a peer tells its buddy.
+	// Journalled takes what a peer tells its replica.
 	Journalled func(journal Journal)
 	// Coordinator gives out engines.
 	Coordinator *coordinator.Coordinator
--- a/process/journaler/journaler.go
+++ b/process/journaler/journaler.go
@@ -1,5 +1,5 @@
-// Package journaler keeps each daemon's attempts at engines known to buddies
-// in other availability zones. When the daemon is proven gone, a buddy cancels
+// Package journaler keeps each daemon's attempts at engines known to replicas
+// in other availability zones. When the daemon is proven gone, a replica cancels
 // the attempts that no caller resumed, so that no engine memory stays held.
 package journaler
 
@@ -19,21 +19,21 @@
 )
 
 const (
-	// buddies is how many daemons know the attempts of each.
-	buddies = 2
+	// replicas is how many daemons know the attempts of each.
+	replicas = 2
 	// beginTimeout bounds what the journal adds to a request.
 	beginTimeout = 100 * time.Millisecond
 	sendTimeout  = 500 * time.Millisecond
 	sendInterval = 50 * time.Millisecond
 )
 
-// Journaler tells buddies about this daemon's attempts.
+// Journaler tells replicas about this daemon's attempts.
 type Journaler struct {
 	Self identifier.Incarnation
 	Zone identifier.ZoneName
 	// Live returns the other live daemons.
 	Live func() []heartbeater.Member
-	// Send tells one buddy.
+	// Send tells one replica.
 	Send  func(ctx context.Context, address identifier.Address, journal messenger.Journal) error
 	Clock clockwork.Clock
 	Log   *slog.Logger
@@ -47,7 +47,7 @@
 	flushed chan struct{}
 }
 
-// line is what one buddy has not been told yet.
+// line is what one replica has not been told yet.
 type line struct {
 	whole bool
 	begun []messenger.Attempt
@@ -65,7 +65,7 @@
 	}
 }
 
-// Begin journals an attempt at one or two engines. It returns when a buddy
+// Begin journals an attempt at one or two engines. It returns when a replica
 // knows of it, or after a short time without one.
 func (j *Journaler) Begin(ctx context.Context, attempts ...messenger.Attempt) {
 	j.mu.Lock()
@@ -80,7 +80,7 @@
 	j.await(ctx, attempts)
 }
 
-// await waits until one buddy was told of the attempts.
+// await waits until one replica was told of the attempts.
 func (j *Journaler) await(ctx context.Context, attempts []messenger.Attempt) {
 	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
 	defer cancel()
@@ -97,8 +97,8 @@
 	}
 }
 
-// isKnown reports whether some buddy has nothing left to be told of the
-// attempts, or there is no buddy at all.
+// isKnown reports whether some replica has nothing left to be told of the
+// attempts, or there is no replica at all.
 func (j *Journaler) isKnown(attempts []messenger.Attempt) (known bool, flushed chan struct{}) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -153,7 +153,7 @@
 	return len(j.running)
 }
 
-// IsFlushed reports whether the buddies know that no attempt is running.
+// IsFlushed reports whether the replicas know that no attempt is running.
 func (j *Journaler) IsFlushed() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -172,7 +172,7 @@
 	}
 }
 
-// Run tells the buddies until the context ends: at once of attempts that begin,
+// Run tells the replicas until the context ends: at once of attempts that begin,
 // and with the next batch of those that ended. What comes while a batch is
 // under way goes into the next one.
 func (j *Journaler) Run(ctx context.Context) error {
@@ -191,16 +191,16 @@
 		}
 		chosen := j.choose()
 		j.syncLines(chosen)
-		for _, buddy := range chosen {
-			journal, ok := j.take(buddy.Incarnation, isTick)
+		for _, replica := range chosen {
+			journal, ok := j.take(replica.Incarnation, isTick)
 			if ok {
-				senders.Go(func() { j.send(ctx, buddy, journal) })
+				senders.Go(func() { j.send(ctx, replica, journal) })
 			}
 		}
 	}
 }
 
-// choose returns the buddies: by rendezvous hashing, those in other
+// choose returns the replicas: by rendezvous hashing, those in other
 // availability zones first, each in a zone of its own where there are enough.
 func (j *Journaler) choose() []heartbeater.Member {
 	live := j.Live()
@@ -221,35 +221,35 @@
 		chosen = append(chosen, peer)
 	}
 	chosen = append(chosen, rest...)
-	return chosen[:min(buddies, len(chosen))]
+	return chosen[:min(replicas, len(chosen))]
 }
 
 func weight(a, b identifier.Incarnation) uint64 {
 	return xxhash.Sum64String(string(a) + "/" + string(b))
 }
 
-// syncLines opens a line for each new buddy, with all that is running, and
+// syncLines opens a line for each new replica, with all that is running, and
 // drops those of former ones.
 func (j *Journaler) syncLines(chosen []heartbeater.Member) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	kept := make(map[identifier.Incarnation]*line)
-	for _, buddy := range chosen {
-		l, ok := j.lines[buddy.Incarnation]
+	for _, replica := range chosen {
+		l, ok := j.lines[replica.Incarnation]
 		if !ok {
 			l = &line{whole: true}
 		}
-		kept[buddy.Incarnation] = l
+		kept[replica.Incarnation] = l
 	}
 	j.lines = kept
 }
 
-// take returns the next batch for a buddy and marks it as under way. Attempts
+// take returns the next batch for a replica and marks it as under way. Attempts
 // that ended alone make no batch, unless asked for.
-func (j *Journaler) take(buddy identifier.Incarnation, endedAlone bool) (journal messenger.Journal, ok bool) {
+func (j *Journaler) take(replica identifier.Incarnation, endedAlone bool) (journal messenger.Journal, ok bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	l := j.lines[buddy]
+	l := j.lines[replica]
 	isDue := l.whole || len(l.begun) > 0 || (endedAlone && len(l.ended) > 0)
 	if l.busy || !isDue {
 		return journal, false
@@ -271,14 +271,14 @@
 	return all
 }
 
-// send tells one buddy. After a failure the buddy gets all anew.
-func (j *Journaler) send(ctx context.Context, buddy heartbeater.Member, journal messenger.Journal) {
+// send tells one replica. After a failure the replica gets all anew.
+func (j *Journaler) send(ctx context.Context, replica heartbeater.Member, journal messenger.Journal) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	err := j.Send(ctx, buddy.Peer, journal)
+	err := j.Send(ctx, replica.Peer, journal)
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	l, ok := j.lines[buddy.Incarnation]
+	l, ok := j.lines[replica.Incarnation]
 	if ok {
 		l.busy = false
 		l.whole = l.whole || err != nil
--- a/process/server/peers.go
+++ b/process/server/peers.go
@@ -103,7 +103,7 @@
 	}
 }
 
-// noteResumed remembers an attempt whose caller came here, so that the buddy
+// noteResumed remembers an attempt whose caller came here, so that the replica
 // of its former daemon does not cancel it.
 func (s *Server) noteResumed(id streamer.EventID) {
 	s.resumedMu.Lock()
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -2,7 +2,7 @@
 //
 //	callers ──> listener ──> admitter ──> limiter ──> streamer ──────────> engines
 //	               │            (key)      (tokens)     │   │
-//	               │                                    │   └─> journaler ──> buddies
+//	               │                                    │   └─> journaler ──> replicas
 //	               │                                  seater ──> coordinator of the model
 //	               │                                (pair of engines; here or at a peer)
 //	               └──> forwarder ──> recorder ──> plain services
--- a/process/server/soak_test.go
+++ b/process/server/soak_test.go
@@ -30,7 +30,7 @@
 	soakDaemons = 4
 	soakWorkers = 8
 	// drainBound bounds how long engines hold what a killed daemon left: proof,
-	// grace and cancel; twice, as its buddy may be killed too.
+	// grace and cancel; twice, as its replica may be killed too.
 	drainBound   = 30 * time.Second
 	publishBound = 30 * time.Second
 )
--- a/request/limiter/bucket.go
+++ b/request/limiter/bucket.go
@@ -102,6 +102,21 @@
 	return len(b.waiters) == 0 || (b.isSmall(tokens) && !b.isSmall(b.waiters[0].tokens))
 }
 
+// ahead returns the tokens of those that go before a new request.
+func (b *bucket) ahead(tokens float64) float64 {
+	if !b.isSmall(tokens) {
+		return b.waiting
+	}
+	sum := 0.0
+	for _, w := range b.waiters {
+		if !b.isSmall(w.tokens) {
+			break
+		}
+		sum += w.tokens
+	}
+	return sum
+}
+
 // enqueue puts a request in the line, small ones before the others.
 func (b *bucket) enqueue(w *Waiter) {
 	at := len(b.waiters)
--- a/request/limiter/limiter.go
+++ b/request/limiter/limiter.go
@@ -305,11 +305,11 @@
 		held = b.level
 	}
 	budget := held + b.rate*deadline.Sub(now).Seconds()
-	return b.waiting+tokens <= budget
+	return b.ahead(tokens)+tokens <= budget
 }
 
 func (b *bucket) refusal(want float64, reason string) *refuser.Refusal {
-	short := b.waiting
+	short := b.ahead(want)
 	if b.share >= identifier.WholeParts {
 		short += want - b.level
 	}
--- a/request/picker/picker.go
+++ b/request/picker/picker.go
@@ -12,28 +12,28 @@
 	"sassafraspass.dev/sassafraspass/version/parser"
 )
 
-// sickFor is how long a server that failed gets calls only where no other one
+// ejectedFor is how long a server that failed gets calls only where no other one
 // is left.
-const sickFor = 2 * time.Second
+const ejectedFor = 2 * time.Second
 
 // Picker tracks the servers of plain services.
 type Picker struct {
 	clock clockwork.Clock
 	zone  identifier.ZoneName
 
-	mu        sync.Mutex
-	running   map[identifier.UpstreamName]int
-	sickUntil map[identifier.UpstreamName]time.Time
-	leaving   []identifier.VMName
+	mu           sync.Mutex
+	running      map[identifier.UpstreamName]int
+	ejectedUntil map[identifier.UpstreamName]time.Time
+	leaving      []identifier.VMName
 }
 
 // New returns a picker for a daemon in a zone.
 func New(clock clockwork.Clock, zone identifier.ZoneName) *Picker {
 	return &Picker{
-		clock:     clock,
-		zone:      zone,
-		running:   make(map[identifier.UpstreamName]int),
-		sickUntil: make(map[identifier.UpstreamName]time.Time),
+		clock:        clock,
+		zone:         zone,
+		running:      make(map[identifier.UpstreamName]int),
+		ejectedUntil: make(map[identifier.UpstreamName]time.Time),
 	}
 }
 
@@ -65,7 +65,7 @@
 // rank is lower for better servers.
 func (p *Picker) rank(upstream parser.Upstream, now time.Time) int {
 	const (
-		sickRank    = 1 << 20
+		ejectedRank = 1 << 20
 		runningRank = 2
 		zoneRank    = 1
 	)
@@ -73,8 +73,8 @@
 	if upstream.Zone != p.zone {
 		rank += zoneRank
 	}
-	if now.Before(p.sickUntil[upstream.Name]) {
-		rank += sickRank
+	if now.Before(p.ejectedUntil[upstream.Name]) {
+		rank += ejectedRank
 	}
 	return rank
 }
@@ -95,5 +95,5 @@
 func (p *Picker) Failed(name identifier.UpstreamName) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sickUntil[name] = p.clock.Now().Add(sickFor)
+	p.ejectedUntil[name] = p.clock.Now().Add(ejectedFor)
 }
--- a/request/planner/engine.go
+++ b/request/planner/engine.go
@@ -23,8 +23,8 @@
 	reportedAt      time.Time
 	grantedAtReport int
 
-	sickUntil   time.Time
-	stallsInRow int
+	ejectedUntil time.Time
+	stallsInRow  int
 	// probe is the one plan that an engine gets after its transfers stalled.
 	probe       *Plan
 	leaving     bool
@@ -51,7 +51,7 @@
 }
 
 func (e *engine) isUsable(now time.Time) bool {
-	return !e.isGoing() && e.probe == nil && !now.Before(e.sickUntil)
+	return !e.isGoing() && e.probe == nil && !now.Before(e.ejectedUntil)
 }
 
 // isGoing reports whether the engine or the platform says that it leaves.
@@ -153,7 +153,7 @@
 func (p *Planner) Failed(name identifier.UpstreamName, now time.Time) {
 	e, ok := p.engines[name]
 	if ok {
-		e.sickUntil = now.Add(sickFor)
+		e.ejectedUntil = now.Add(ejectedFor)
 	}
 }
 
--- a/request/planner/planner.go
+++ b/request/planner/planner.go
@@ -27,8 +27,8 @@
 	// maxPrefillBacklog is how much work an engine is given ahead. Requests
 	// beyond it wait here, where they can still be reordered and refused.
 	maxPrefillBacklog = 400 * time.Millisecond
-	// sickFor is how long an engine that failed gets no new work.
-	sickFor = 2 * time.Second
+	// ejectedFor is how long an engine that failed gets no new work.
+	ejectedFor = 2 * time.Second
 	// rateWeight is the weight of the newest sample in an estimate.
 	rateWeight = 0.2
 	// reportFresh is how long a load report counts.
@@ -39,10 +39,10 @@
 	// as long as stallMemory.
 	stallPenalty = time.Second
 	stallMemory  = 5 * time.Second
-	// stallsForSick is how many transfers in a row must stall before their
-	// prefill engine counts as ill.
-	stallsForSick    = 2
-	maxSickDoublings = 3
+	// stallsForEjection is how many transfers in a row must stall before their
+	// prefill engine is ejected.
+	stallsForEjection    = 2
+	maxEjectionDoublings = 3
 	// shortlistLength is how many engines of each role are paired.
 	shortlistLength = 8
 )
@@ -196,7 +196,7 @@
 }
 
 // HasEngines reports whether a model has engines of both roles that stay. Those
-// that are ill may come back before a request's deadline.
+// that are ejected may come back before a request's deadline.
 func (p *Planner) HasEngines(model identifier.ModelName) bool {
 	hasRole := make(map[parser.Role]bool)
 	for _, e := range p.order {
@@ -249,7 +249,7 @@
 func (p *Planner) take(plan *Plan) {
 	pre := p.engines[plan.Prefill.Name]
 	pre.grant(plan.holder, 1, plan.Work)
-	if pre.stallsInRow >= stallsForSick {
+	if pre.stallsInRow >= stallsForEjection {
 		pre.probe = plan
 	}
 	p.engines[plan.Decode.Name].grant(plan.holder, 1, 0)
@@ -301,11 +301,11 @@
 		return
 	}
 	pre.stallsInRow++
-	if pre.stallsInRow < stallsForSick {
+	if pre.stallsInRow < stallsForEjection {
 		return
 	}
-	exponent := min(pre.stallsInRow-stallsForSick, maxSickDoublings)
-	pre.sickUntil = now.Add(sickFor << exponent)
+	exponent := min(pre.stallsInRow-stallsForEjection, maxEjectionDoublings)
+	pre.ejectedUntil = now.Add(ejectedFor << exponent)
 }
 
 // Release returns what is left of a plan: its decode seat, and its prefill
--- a/request/seater/seater_test.go
+++ b/request/seater/seater_test.go
@@ -175,9 +175,9 @@
 func TestRequestWaitsForAnEngineThatIsIll(t *testing.T) {
 	is := is.New(t)
 	c := newCoordinator(clockwork.NewRealClock())
-	ill := request(time.Second)
-	ill.Holder, ill.Plan = "h", "plan"
-	_, refusal := c.Acquire(t.Context(), ill)
+	asked := request(time.Second)
+	asked.Holder, asked.Plan = "h", "plan"
+	_, refusal := c.Acquire(t.Context(), asked)
 	is.True(refusal == nil)
 	c.Settle("h", []coordinator.Event{
 		{Plan: "plan", Kind: coordinator.EventDecodeEngineFailed},
--- a/request/streamer/decode.go
+++ b/request/streamer/decode.go
@@ -239,7 +239,7 @@
 	r.Meter.Event(meter.EventToken)
 	err := r.sink(Token{Upstream: name, Attempt: attempt, Index: frame.Index, Text: frame.Text})
 	if err != nil {
-		r.gone = err
+		r.disconnected = err
 		return errSink
 	}
 	return nil
--- a/request/streamer/resume.go
+++ b/request/streamer/resume.go
@@ -73,7 +73,7 @@
 	case err == nil:
 		s.End(id.Attempt)
 		return result, nil
-	case ctx.Err() != nil || r.gone != nil:
+	case ctx.Err() != nil || r.disconnected != nil:
 		s.Cancel(upstream.Address, id.Attempt)
 		return result, r.ended(ctx)
 	}
--- a/request/streamer/streamer.go
+++ b/request/streamer/streamer.go
@@ -96,7 +96,7 @@
 	// sent says that an engine was asked, so that the request may have run.
 	sent bool
 	// gone is the error of a sink whose caller is gone.
-	gone error
+	disconnected error
 }
 
 // Serve runs a completion to its end mark. After a refusal the tokens that
@@ -118,7 +118,7 @@
 		if refusal == nil {
 			return nil
 		}
-		if ctx.Err() != nil || r.gone != nil {
+		if ctx.Err() != nil || r.disconnected != nil {
 			return r.ended(ctx)
 		}
 		if refusal.Code != refuser.UpstreamFailed {
