--- a/request/placer/pool.go
+++ b/request/placer/pool.go
@@ -23,7 +23,7 @@
 	// unhintedShare is the part of the largest output planned without a hint.
 	unhintedShare = 0.5
 	// fillLimit is the part of an engine's memory that the forecast may reach.
-	fillLimit = 0.88
+	fillLimit = 0.95
 	// overrunFactor and overrunTokens extend a run that outlasted its estimate.
 	overrunFactor = 1.15
 	overrunTokens = 200
