--- a/process/allotter/allotter.go
+++ b/process/allotter/allotter.go
@@ -165,14 +165,20 @@
 	}
 	isSteady := now.Sub(a.wantedSince) >= steadyFor
 	isPaused := now.Sub(a.proposedAt) < proposeEvery
-	return isSteady && !isPaused && a.isProposer() && a.IsCurrent()
+	return isSteady && !isPaused && a.isProposer(epoch) && a.IsCurrent()
 }
 
-// isProposer reports whether this daemon is the first of the live ones. Others
+// isProposer reports whether this daemon is the first of the live ones that
+// propose: the members, where the epoch has fewer than all daemons. Others
 // proposing too would do no harm, as the log orders the proposals.
-func (a *Allotter) isProposer() bool {
-	live := a.Members.Live()
-	return len(live) == 0 || a.Self.Incarnation < live[0].Incarnation
+func (a *Allotter) isProposer(epoch epocher.Epoch) bool {
+	for _, peer := range a.Members.Live() {
+		isRival := a.MaxMembers == 0 || epoch.Has(peer.Incarnation) || !epoch.Has(a.Self.Incarnation)
+		if isRival && peer.Incarnation < a.Self.Incarnation {
+			return false
+		}
+	}
+	return true
 }
 
 // want returns the members that the epoch should have.
--- /dev/null
+++ b/process/allotter/allotter_test.go
@@ -0,0 +1,114 @@
+package allotter
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/asserter"
+	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/process/logger"
+	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/request/limiter"
+	"sassafraspass.dev/sassafraspass/version/epocher"
+)
+
+func member(name string) epocher.Member {
+	return epocher.Member{Incarnation: identifier.Incarnation(name), VM: identifier.VMName("vm-" + name), Peer: identifier.Address(name)}
+}
+
+// hub is one allotter with what it hears.
+type hub struct {
+	*Allotter
+	clock    *clockwork.FakeClock
+	proposed []epocher.Proposal
+}
+
+// newHub returns the allotter of a daemon in an epoch of hubs.
+func newHub(self string, members ...string) *hub {
+	h := &hub{clock: clockwork.NewFakeClock()}
+	epochs := epocher.New()
+	proposal := epocher.Proposal{BasedOn: identifier.NoOffset}
+	for _, name := range members {
+		proposal.Members = append(proposal.Members, member(name))
+	}
+	raw, _ := json.Marshal(proposal)
+	_ = epochs.Handle(0, raw)
+	l := limiter.New(h.clock, asserter.New(logger.Discard(), meter.NewDetached(), true))
+	h.Allotter = &Allotter{
+		Self:            member(self),
+		Epocher:         epochs,
+		Limiter:         l,
+		Members:         heartbeater.NewMembers(h.clock, identifier.Incarnation(self)),
+		IsJoining:       func() bool { return true },
+		IsCurrent:       func() bool { return true },
+		MaxMembers:      len(members),
+		SilenceProves:   1800 * time.Millisecond,
+		HearsMajority:   func() bool { return true },
+		MinoritySilence: 15 * time.Second,
+		Append: func(_ context.Context, _ identifier.StreamName, data []byte) (identifier.Offset, error) {
+			var p epocher.Proposal
+			_ = json.Unmarshal(data, &p)
+			h.proposed = append(h.proposed, p)
+			return 1, nil
+		},
+		Clock: h.clock,
+		Log:   logger.Discard(),
+	}
+	return h
+}
+
+// run lets time pass while some daemons are heard.
+func (h *hub) run(d time.Duration, heard ...string) {
+	const tick = 100 * time.Millisecond
+	for range d / tick {
+		h.clock.Advance(tick)
+		for _, name := range heard {
+			m := member(name)
+			h.Members.Heard(heartbeater.Beat{Incarnation: m.Incarnation, VM: m.VM, Peer: m.Peer, Zone: "z", State: heartbeater.StateServing})
+		}
+		h.Step(context.Background())
+	}
+}
+
+// TestSilentHubIsReplacedThoughADaemonOutsideTheEpochIsFirst covers a hub that
+// was removed for good while a daemon that is no hub has the first incarnation
+// of all: it proposes nothing, so a hub must.
+func TestSilentHubIsReplacedThoughADaemonOutsideTheEpochIsFirst(t *testing.T) {
+	is := is.New(t)
+	h := newHub("b", "b", "c", "dead")
+	h.run(time.Second, "a-no-hub", "c", "dead")
+	h.run(4*time.Second, "a-no-hub", "c")
+	is.True(len(h.proposed) > 0)
+	names := make(map[identifier.Incarnation]bool)
+	for _, m := range h.proposed[0].Members {
+		names[m.Incarnation] = true
+	}
+	is.Equal(names, map[identifier.Incarnation]bool{"b": true, "c": true, "a-no-hub": true})
+}
+
+func TestOnlyTheFirstHubProposes(t *testing.T) {
+	is := is.New(t)
+	h := newHub("c", "b", "c", "dead")
+	h.run(time.Second, "b", "dead")
+	h.run(4*time.Second, "b")
+	is.Equal(len(h.proposed), 0)
+}
+
+// TestMinorityDoesNotTakeLimitsOver covers a hub that is cut off from all others
+// but reaches the store.
+func TestMinorityDoesNotTakeLimitsOver(t *testing.T) {
+	is := is.New(t)
+	h := newHub("b", "b", "c", "d")
+	h.HearsMajority = func() bool { return false }
+	h.run(time.Second, "c", "d")
+	h.run(12 * time.Second)
+	is.Equal(len(h.proposed), 0)
+	h.run(6 * time.Second)
+	is.True(len(h.proposed) > 0)
+}
