Forget the rosters of daemons that do not confirm them

Ruled out: steadiness, majority and currency of the other hubs (traced: all true, proposer false everywhere). Change: a roster holds while its daemon confirms it. Test: TestRosterOfADaemonThatIsNotAskedAnyMoreIsForgotten, which failed first.

--- a/process/gateway/hubs.go
+++ b/process/gateway/hubs.go
@@ -113,6 +113,7 @@
 	if beat.Relay == nil {
 		return
 	}
+	g.Members.ConfirmRoster(beat.Incarnation)
 	if beat.Relay.HasRoster {
 		g.Members.TakeRoster(beat.Incarnation, beat.Relay.Roster, beat.Relay.Members)
 		logger.For(g.Log, logger.Members).Debug("A hub told whom it hears.", "hub", beat.VM, "daemons", len(beat.Relay.Members))
--- a/process/heartbeater/members.go
+++ b/process/heartbeater/members.go
@@ -143,6 +143,8 @@
 type roster struct {
 	number  int64
 	members []Beat
+	// confirmedAt is when the hub last answered that this is its roster.
+	confirmedAt time.Time
 }
 
 // answer tells which daemon answered at an address, to a beat sent at a time.
@@ -278,17 +280,16 @@
 	return live
 }
 
-// heardByHubs returns the daemons in the rosters of the hubs heard lately. One
+// heardByHubs returns the daemons in the rosters that hubs confirmed lately. One
 // that leaves comes first, as other hubs may not know that yet.
 func (m *Members) heardByHubs() (live []Member) {
 	now := m.clock.Now()
-	for hub, r := range m.rosters {
-		heard, ok := m.members[hub]
-		if !ok || now.Sub(heard.HeardAt) > SilentAfter {
+	for _, r := range m.rosters {
+		if now.Sub(r.confirmedAt) > SilentAfter {
 			continue
 		}
 		for _, beat := range r.members {
-			live = append(live, Member{Beat: beat, HeardAt: heard.HeardAt})
+			live = append(live, Member{Beat: beat, HeardAt: r.confirmedAt})
 		}
 	}
 	slices.SortStableFunc(live, func(a, b Member) int {
@@ -339,10 +340,24 @@
 func (m *Members) TakeRoster(hub identifier.Incarnation, number int64, members []Beat) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.rosters[hub] = roster{number: number, members: members}
+	m.rosters[hub] = roster{number: number, members: members, confirmedAt: m.clock.Now()}
 	m.isChanged = true
 }
 
+// ConfirmRoster notes that a hub answered and its roster still holds.
+func (m *Members) ConfirmRoster(hub identifier.Incarnation) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.rosters[hub]
+	if !ok {
+		return
+	}
+	now := m.clock.Now()
+	m.isChanged = m.isChanged || now.Sub(r.confirmedAt) > SilentAfter
+	r.confirmedAt = now
+	m.rosters[hub] = r
+}
+
 // RosterOf returns the number of the roster that a hub last told.
 func (m *Members) RosterOf(hub identifier.Incarnation) int64 {
 	m.mu.Lock()
