--- a/process/explainer/explainer.go
+++ b/process/explainer/explainer.go
@@ -138,6 +138,18 @@
 	return ""
 }
 
+// cutCause returns the error of the hop that cut an answer, or of its end.
+func cutCause(own []line) string {
+	cause := ""
+	for _, l := range own {
+		found := field(l.text, "err")
+		if found != "" && (cause == "" || !strings.Contains(l.text, "Cut.")) {
+			cause = found
+		}
+	}
+	return cause
+}
+
 // verdict sums up the last line that ends the request.
 func verdict(own []line) string {
 	for _, l := range slices.Backward(own) {
@@ -146,7 +158,7 @@
 			return fmt.Sprintf("refused with status %s (%s) after %s ms: %s; not run: %s",
 				field(l.text, "status"), field(l.text, "code"), field(l.text, "ms"), field(l.text, "reason"), field(l.text, "not-run"))
 		case strings.Contains(l.text, "Cut."):
-			return fmt.Sprintf("cut after %s ms at upstream %s: %s", field(l.text, "ms"), field(l.text, "upstream"), field(l.text, "err"))
+			return fmt.Sprintf("cut after %s ms at upstream %s: %s", field(l.text, "ms"), field(l.text, "upstream"), cutCause(own))
 		case strings.Contains(l.text, "Answered."):
 			return fmt.Sprintf("answered with status %s by upstream %s after %s ms and %s hops",
 				field(l.text, "status"), field(l.text, "upstream"), field(l.text, "ms"), field(l.text, "hops"))
--- a/process/explainer/explainer_test.go
+++ b/process/explainer/explainer_test.go
@@ -13,6 +13,7 @@
 time=2026-01-01T00:00:05.000Z level=INFO msg="request: A hop failed." id=abc upstream=i-1 err="read: \"reset\""
 time=2026-01-01T00:00:05.100Z level=INFO msg="request: Refused." id=abc code=upstream-failed status=502 not-run=false ms=140 reason="the service did not answer" upstream=i-1
 time=2026-01-01T00:00:04.000Z level=INFO msg="request: Answered." id=abcd status=200 upstream=i-2 hops=1 ms=30
+time=2026-01-01T00:00:05.900Z level=INFO msg="request: A stream was cut." id=cut upstream=i-3 err="connection reset by peer"
 time=2026-01-01T00:00:06.000Z level=INFO msg="request: Cut." id=cut upstream=i-3 ms=900 err="the answer was cut"
 time=2026-01-01T00:00:06.000Z level=INFO msg="request: Placed." id=open decode=i-3
 broken line
@@ -26,7 +27,7 @@
 	}{
 		{"abc", "refused with status 502 (upstream-failed) after 140 ms: the service did not answer; not run: false", 2},
 		{"abcd", "answered with status 200 by upstream i-2 after 30 ms and 1 hops", 1},
-		{"cut", "cut after 900 ms at upstream i-3: the answer was cut", 1},
+		{"cut", "cut after 900 ms at upstream i-3: connection reset by peer", 2},
 		{"open", "no line ends the request: its daemon stopped, was frozen, or dropped lines", 1},
 	}
 	for _, test := range tests {
