--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -182,7 +182,7 @@
 	g = &Gateway{
 		drivers: drivers,
 		changed: make(chan struct{}, 1),
-		roster:  newRoster(clock.Now()),
+		roster:  newRoster(),
 	}
 	g.settings.Store(&settings)
 	g.routes.Store(router.New(nil))
--- a/process/gateway/list.go
+++ b/process/gateway/list.go
@@ -16,11 +16,11 @@
 
 const (
 	listTimeout = 2 * time.Second
-	// settleTime is how long after its start a daemon reads the list each
-	// second. Those that come later make themselves known, so that it reads
-	// once in listInterval then.
-	settleTime   = 6 * time.Second
-	listInterval = 8 * time.Second
+	// A daemon reads the list each second until it hears a hub. Hubs read it
+	// once in hubListInterval then, to take silent daemons off, and the others
+	// once in listInterval, to see that they are still on it.
+	hubListInterval = 8 * time.Second
+	listInterval    = 30 * time.Second
 	// retireAfter is how long a listed daemon must be silent to be taken off.
 	// One that lives puts itself back.
 	retireAfter = 10 * time.Second
@@ -32,20 +32,20 @@
 // roster keeps this daemon on the list of VMs, and those off it that are gone.
 type roster struct {
 	mu          sync.Mutex
-	startedAt   time.Time
 	readAt      time.Time
 	silentSince map[identifier.VMName]time.Time
 }
 
-func newRoster(now time.Time) *roster {
-	return &roster{startedAt: now, silentSince: make(map[identifier.VMName]time.Time)}
+func newRoster() *roster {
+	return &roster{silentSince: make(map[identifier.VMName]time.Time)}
 }
 
-// isDue reports whether the list is to be read, and notes that it is.
-func (r *roster) isDue(now time.Time) bool {
+// isDue reports whether the list is to be read after an interval, and notes
+// that it is.
+func (r *roster) isDue(now time.Time, interval time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Sub(r.startedAt) > settleTime && now.Sub(r.readAt) < listInterval {
+	if now.Sub(r.readAt) < interval {
 		return false
 	}
 	r.readAt = now
@@ -97,11 +97,21 @@
 	return g.drivers.Announce(ctx, g.ownVM())
 }
 
+func (g *Gateway) listInterval() time.Duration {
+	switch {
+	case !g.hearsHub():
+		return 0
+	case g.isHub():
+		return hubListInterval
+	}
+	return listInterval
+}
+
 // readVMs reads the list of VMs where it is due, puts this daemon back on it
 // where it is missing, and takes off those that are silent.
 func (g *Gateway) readVMs(ctx context.Context) ([]appender.VM, error) {
 	now := g.Clock.Now()
-	if !g.roster.isDue(now) {
+	if !g.roster.isDue(now, g.listInterval()) {
 		return nil, errNotDue
 	}
 	vms, err := g.drivers.ReadVMs(ctx)
