--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -68,40 +68,47 @@
 	return claims
 }
 
-// candidates ranks the daemons that may place a service's requests: the live
-// ones that serve, by a hash of their VM with the service.
+// ranked is a daemon that may place requests.
+type ranked struct {
+	broker.Candidate
+	weight float64
+	hash   uint64
+}
+
+// candidates ranks the daemons that may place a service's requests: the hubs
+// that are heard and serve, by their processor time and then by a hash of their
+// VM with the service. Where there is none, this daemon places for itself.
 func (g *Gateway) candidates(service identifier.ServiceName) []broker.Candidate {
-	type ranked struct {
-		broker.Candidate
-		weight uint64
-	}
+	epoch := g.Epocher.Current()
 	var all []ranked
-	if g.isServing() {
-		all = append(all, ranked{weight: placeWeight(service, g.current().VM)})
+	if g.isServing() && g.isHub() {
+		all = append(all, ranked{weight: g.Identity.Weight, hash: placeHash(service, g.current().VM)})
 	}
 	for _, member := range g.Members.Live() {
-		if member.State != heartbeater.StateServing {
+		if member.State != heartbeater.StateServing || !epoch.Has(member.Incarnation) {
 			continue
 		}
 		incarnation := member.Incarnation
 		all = append(all, ranked{
 			Candidate: broker.Candidate{Address: member.Peer, IsSilent: func() bool { return g.isQuiet(incarnation) }},
-			weight:    placeWeight(service, member.VM),
+			weight:    member.Weight,
+			hash:      placeHash(service, member.VM),
 		})
 	}
-	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(b.hash, a.hash))
+	})
 	candidates := make([]broker.Candidate, 0, len(all)+1)
 	for _, one := range all {
 		candidates = append(candidates, one.Candidate)
 	}
-	if !g.isServing() {
-		// One that leaves still places for itself where no other is heard.
+	if !g.isServing() || len(candidates) == 0 {
 		candidates = append(candidates, broker.Candidate{})
 	}
 	return candidates
 }
 
-func placeWeight(service identifier.ServiceName, vm identifier.VMName) uint64 {
+func placeHash(service identifier.ServiceName, vm identifier.VMName) uint64 {
 	return xxhash.Sum64String(string(service) + "/" + string(vm))
 }
 
--- a/request/placer/pool.go
+++ b/request/placer/pool.go
@@ -268,11 +268,12 @@
 	var bestRun *run
 	lowest := 0.0
 	limit := fillLimit * tokens(p.profile.Memory)
+	prefills := p.usable(parser.RolePrefill, t.ask.Avoid, now)
 	for _, decode := range p.usable(parser.RoleDecode, t.ask.Avoid, now) {
 		if len(decode.runs) >= max(1, decode.entry.Slots) {
 			continue
 		}
-		prefill := p.prefillFor(decode, t.ask.Avoid, now)
+		prefill := prefillFor(decode, prefills, now)
 		if prefill == nil {
 			continue
 		}
@@ -330,10 +331,10 @@
 
 // prefillFor returns the prefill engine with the least backlog, one in the
 // decode engine's zone where the backlogs are alike; nil where all are busy.
-func (p *Pool) prefillFor(decode *engine, avoid []identifier.UpstreamName, now time.Time) *engine {
+func prefillFor(decode *engine, prefills []*engine, now time.Time) *engine {
 	var best *engine
 	least := time.Duration(0)
-	for _, e := range p.usable(parser.RolePrefill, avoid, now) {
+	for _, e := range prefills {
 		backlog := max(0, e.busyUntil.Sub(now))
 		if backlog > maxBacklog {
 			continue
