Let a minority that reads the store take limits over after 5 s

Ruled out: lost tolerance (refusals name no daemon that holds the limit). Change: a member that reads the store and was not left out waits 5 s, which is twice what a majority takes to leave it out; a daemon outside the epoch proposes only where every member is proven gone.

--- a/process/allotter/allotter.go
+++ b/process/allotter/allotter.go
@@ -63,10 +63,14 @@
 	// when they do not hear a majority of the epoch.
 	SilenceProves time.Duration
 	// HearsMajority reports whether this daemon hears a majority of the epoch.
-	// One that does not may be the one that is cut off; silence proves
-	// something to it after MinoritySilence only.
+	// One that does not may be the one that is cut off. While it reads the log
+	// and no epoch has left it out, silence proves something to it after
+	// MinoritySilence, by when a majority would have left it out; otherwise
+	// after OutsiderSilence.
 	HearsMajority   func() bool
+	ReadsLog        func() bool
 	MinoritySilence time.Duration
+	OutsiderSilence time.Duration
 	// Rejoins says that a daemon that was left out joins the next epoch
 	// instead of telling Removed. Its shares end with the epoch without it.
 	Rejoins bool
@@ -178,7 +182,15 @@
 			return false
 		}
 	}
-	return true
+	return a.MaxMembers == 0 || epoch.Has(a.Self.Incarnation) || !a.hasLive(epoch)
+}
+
+// hasLive reports whether a member is not proven gone. It proposes whoever is
+// to join; a daemon outside the epoch may be the one that is cut off.
+func (a *Allotter) hasLive(epoch epocher.Epoch) bool {
+	return slices.ContainsFunc(epoch.Members, func(member epocher.Member) bool {
+		return a.proof(member) == heartbeater.ProofNone
+	})
 }
 
 // want returns the members that the epoch should have.
@@ -199,6 +211,18 @@
 	return wanted
 }
 
+// provingSilence returns the silence that proves a member gone to this daemon.
+func (a *Allotter) provingSilence() time.Duration {
+	isMember := a.Epocher.Current().Has(a.Self.Incarnation)
+	switch {
+	case a.HearsMajority() && isMember:
+		return a.SilenceProves
+	case isMember && a.ReadsLog():
+		return a.MinoritySilence
+	}
+	return a.OutsiderSilence
+}
+
 // joiners returns the daemons that the epoch should have beside those that stay.
 func (a *Allotter) joiners(epoch epocher.Epoch, staying int) (joining []epocher.Member) {
 	var candidates []heartbeater.Beat
@@ -268,11 +292,7 @@
 	if a.SilenceProves == 0 || member.Incarnation == a.Self.Incarnation {
 		return proof
 	}
-	proves := a.SilenceProves
-	if !a.HearsMajority() {
-		proves = a.MinoritySilence
-	}
-	if a.Members.SilentFor(member) > proves && (proof == heartbeater.ProofNone || proof == heartbeater.ProofUnlisted) {
+	if a.Members.SilentFor(member) > a.provingSilence() && (proof == heartbeater.ProofNone || proof == heartbeater.ProofUnlisted) {
 		return heartbeater.ProofSilent
 	}
 	return proof
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/asserter"
 	"sassafraspass.dev/sassafraspass/process/configurer"
+	"sassafraspass.dev/sassafraspass/process/confirmer"
 	"sassafraspass.dev/sassafraspass/process/fleet"
 	"sassafraspass.dev/sassafraspass/process/logger"
 	"sassafraspass.dev/sassafraspass/process/meter"
@@ -62,9 +63,12 @@
 	// others give its limits to another one.
 	majorityWithin = 1200 * time.Millisecond
 	silenceProves  = 1800 * time.Millisecond
-	// minoritySilence is the silence that proves something to a daemon which
-	// hears no majority. It exceeds the usual cuts.
-	minoritySilence = 15 * time.Second
+	// minoritySilence is the silence that proves something to a hub which hears
+	// no majority but reads the store: a majority that does so too would have
+	// left it out within half of that. To others outsiderSilence does, which
+	// exceeds the usual cuts.
+	minoritySilence = 5 * time.Second
+	outsiderSilence = 15 * time.Second
 	// burstShare is the part of the deployment's tolerance that widens the
 	// bursts, creditShare the part that a limit's new holder starts with, and
 	// deputyShare the part for when the holder is out of reach. Together they
@@ -250,6 +254,11 @@
 	f.Allotter.Rejoins = true
 	f.Allotter.SilenceProves = silenceProves
 	f.Allotter.MinoritySilence = minoritySilence
+	f.Allotter.OutsiderSilence = outsiderSilence
+	f.Allotter.ReadsLog = func() bool {
+		age := f.Confirmer.LogAge()
+		return age != confirmer.Never && age < silenceProves
+	}
 	f.Allotter.HearsMajority = func() bool { return f.HearsMajority(silenceProves) }
 	f.Limiter.IsCurrent = func() bool { return f.Confirmer.IsCurrent() && f.HearsMajority(majorityWithin) }
 	f.IsPrepared = func() bool { return g.registrar.IsWhole() }
