--- a/process/allotter/allotter.go
+++ b/process/allotter/allotter.go
@@ -215,7 +215,7 @@
 func (a *Allotter) provingSilence() time.Duration {
 	isMember := a.Epocher.Current().Has(a.Self.Incarnation)
 	switch {
-	case a.HearsMajority() && isMember:
+	case a.HearsMajority() && isMember, a.isMajorityGone():
 		return a.SilenceProves
 	case isMember && a.ReadsLog():
 		return a.MinoritySilence
@@ -223,6 +223,19 @@
 	return a.OutsiderSilence
 }
 
+// isMajorityGone reports whether most members are gone on proof, so that no
+// majority can be on the other side of a cut.
+func (a *Allotter) isMajorityGone() bool {
+	members := a.Epocher.Current().Members
+	gone := 0
+	for _, member := range members {
+		if a.Members.Proof(member) != heartbeater.ProofNone {
+			gone++
+		}
+	}
+	return gone*2 > len(members)
+}
+
 // joiners returns the daemons that the epoch should have beside those that stay.
 func (a *Allotter) joiners(epoch epocher.Epoch, staying int) (joining []epocher.Member) {
 	var candidates []heartbeater.Beat
--- a/process/allotter/allotter_test.go
+++ b/process/allotter/allotter_test.go
@@ -136,3 +136,20 @@
 	h.run(12 * time.Second)
 	is.Equal(len(h.proposed), 0)
 }
+
+// TestFleetThatStartsAnewWithoutOneHubProposesSoon covers an end of all daemons
+// after which one of the old hubs does not come back.
+func TestFleetThatStartsAnewWithoutOneHubProposesSoon(t *testing.T) {
+	is := is.New(t)
+	h := newHub("new-b", "b", "c", "dead")
+	h.HearsMajority = func() bool { return false }
+	h.run(200 * time.Millisecond)
+	for range 30 {
+		for _, address := range []string{"b", "c"} {
+			h.Members.Answered(identifier.Address(address), identifier.Incarnation("new-"+address), h.clock.Now())
+		}
+		h.run(100 * time.Millisecond)
+	}
+	is.True(len(h.proposed) > 0)
+	is.Equal(len(h.proposed[0].Members), 1)
+}
