Split members.go by what its parts do

Each has a file now; nothing else changed. Ruled out: a package for rosters, as they share the table's lock.

--- a/process/heartbeater/members.go
+++ b/process/heartbeater/members.go
@@ -11,77 +11,9 @@
 
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/identifier"
-	"sassafraspass.dev/sassafraspass/process/registrar"
 	"sassafraspass.dev/sassafraspass/version/epocher"
 )
 
-// State tells whether a daemon takes new work.
-type State string
-
-// The states of a daemon.
-const (
-	// StateStarting is before the daemon has a configuration and shares.
-	StateStarting State = "starting"
-	StateServing  State = "serving"
-	StateLeaving  State = "leaving"
-)
-
-// Beat is what one daemon says about itself.
-type Beat struct {
-	Incarnation identifier.Incarnation
-	VM          identifier.VMName
-	Zone        identifier.ZoneName
-	Peer        identifier.Address
-	Caller      identifier.Address
-	Operator    identifier.Address
-	State       State
-	// Drained says that the daemon holds no shares any more.
-	Drained bool
-	Version identifier.Offset
-	Epoch   identifier.Offset
-	// LogAge is confirmer.Never where the log was never read.
-	LogAge time.Duration
-	Loads  []EngineLoad
-	// Heard lists the daemons that this one heard lately although the
-	// platform's list misses their VMs.
-	Heard []identifier.Incarnation
-	// Resumed lists attempts whose callers came to this daemon lately.
-	Resumed []identifier.AttemptID
-	// Weight is the part of a core that the daemon has.
-	Weight float64
-	// Marks tell a hub what this daemon has already, and Relay holds what a
-	// hub tells beyond itself; nil for nothing.
-	Marks Marks
-	Relay *Relay
-}
-
-// Marks tell a hub what the sender has already, so that only news is sent.
-type Marks struct {
-	// RosterOf is the hub that numbered the roster.
-	RosterOf identifier.Incarnation
-	Roster   int64
-	// Upstreams is the offset up to which the list of upstreams is known.
-	Upstreams identifier.Offset
-}
-
-// Relay is what a hub tells that hears all daemons and reads the store.
-type Relay struct {
-	// HasRoster says that Members holds all daemons that the hub hears, and
-	// Roster the number of that state.
-	HasRoster bool
-	Roster    int64
-	Members   []Beat
-	// Upstreams is nil where the hub has nothing to tell.
-	Upstreams *registrar.Feed
-}
-
-// EngineLoad is what one daemon has running at one engine.
-type EngineLoad struct {
-	Upstream identifier.UpstreamName
-	Running  int
-	Tokens   identifier.Tokens
-}
-
 // Member is a daemon that was heard.
 type Member struct {
 	Beat
@@ -139,14 +71,6 @@
 	ownAt    time.Time
 }
 
-// roster is what a hub told of the daemons that it hears.
-type roster struct {
-	number  int64
-	members []Beat
-	// confirmedAt is when the hub last answered that this is its roster.
-	confirmedAt time.Time
-}
-
 // answer tells which daemon answered at an address, to a beat sent at a time.
 type answer struct {
 	incarnation identifier.Incarnation
@@ -280,91 +204,6 @@
 	return live
 }
 
-// heardByHubs returns the daemons in the rosters that hubs confirmed lately. One
-// that leaves comes first, as other hubs may not know that yet.
-func (m *Members) heardByHubs() (live []Member) {
-	now := m.clock.Now()
-	for _, r := range m.rosters {
-		if now.Sub(r.confirmedAt) > SilentAfter {
-			continue
-		}
-		for _, beat := range r.members {
-			live = append(live, Member{Beat: beat, HeardAt: r.confirmedAt})
-		}
-	}
-	slices.SortStableFunc(live, func(a, b Member) int {
-		return cmp.Compare(stateRank[a.State], stateRank[b.State])
-	})
-	return live
-}
-
-var stateRank = map[State]int{StateLeaving: 0, StateStarting: 1, StateServing: 2}
-
-// RosterSince returns the daemons heard here, where that differs from the state
-// of a number, and the present number.
-func (m *Members) RosterSince(self Beat, number int64) (members []Beat, present int64, changed bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.clock.Now()
-	if now.Sub(m.ownAt) < rosterInterval {
-		return m.own, m.ownCount, m.ownCount != number
-	}
-	m.ownAt = now
-	var heard []Beat
-	for _, member := range append(m.heardHere(), Member{Beat: self}) {
-		heard = append(heard, Beat{
-			Incarnation: member.Incarnation,
-			VM:          member.VM,
-			Zone:        member.Zone,
-			Peer:        member.Peer,
-			Caller:      member.Caller,
-			State:       member.State,
-			Weight:      member.Weight,
-			Version:     identifier.NoOffset,
-			Epoch:       identifier.NoOffset,
-		})
-	}
-	slices.SortFunc(heard, func(a, b Beat) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
-	if !slices.EqualFunc(heard, m.own, isSameDaemon) {
-		m.own = heard
-		m.ownCount++
-	}
-	return m.own, m.ownCount, m.ownCount != number
-}
-
-func isSameDaemon(a, b Beat) bool {
-	return a.Incarnation == b.Incarnation && a.State == b.State && a.Caller == b.Caller && a.Peer == b.Peer
-}
-
-// TakeRoster notes what a hub tells of the daemons that it hears.
-func (m *Members) TakeRoster(hub identifier.Incarnation, number int64, members []Beat) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.rosters[hub] = roster{number: number, members: members, confirmedAt: m.clock.Now()}
-	m.isChanged = true
-}
-
-// ConfirmRoster notes that a hub answered and its roster still holds.
-func (m *Members) ConfirmRoster(hub identifier.Incarnation) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	r, ok := m.rosters[hub]
-	if !ok {
-		return
-	}
-	now := m.clock.Now()
-	m.isChanged = m.isChanged || now.Sub(r.confirmedAt) > SilentAfter
-	r.confirmedAt = now
-	m.rosters[hub] = r
-}
-
-// RosterOf returns the number of the roster that a hub last told.
-func (m *Members) RosterOf(hub identifier.Incarnation) int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.rosters[hub].number
-}
-
 // At returns the daemon that last answered at an address.
 func (m *Members) At(address identifier.Address) identifier.Incarnation {
 	m.mu.Lock()
@@ -398,93 +237,6 @@
 	return member, ok
 }
 
-// GoneProof tells why a daemon cannot admit any more.
-type GoneProof string
-
-// The proofs that a daemon is gone.
-const (
-	ProofNone     GoneProof = ""
-	ProofDrained  GoneProof = "handed-over"
-	ProofReplaced GoneProof = "replaced-at-its-address"
-	ProofRefused  GoneProof = "connection-refused"
-	ProofUnlisted GoneProof = "missing-from-the-list"
-	// ProofSilent holds only where members stop admitting by themselves when
-	// they do not hear a majority.
-	ProofSilent GoneProof = "silent"
-)
-
-// Proof returns the proof that a member of an epoch is gone, or ProofNone.
-// Silence alone proves nothing.
-func (m *Members) Proof(member epocher.Member) GoneProof {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.notice(member)
-	switch {
-	case m.drained[member.Incarnation]:
-		return ProofDrained
-	case m.isReplaced(member):
-		return ProofReplaced
-	case m.refused[member.Peer].count >= refusalsForGone:
-		return ProofRefused
-	case m.isUnlisted(member):
-		return ProofUnlisted
-	}
-	return ProofNone
-}
-
-// notice marks when a member was first asked about. What its address did
-// before then says nothing about the member.
-func (m *Members) notice(member epocher.Member) {
-	_, known := m.knownSince[member.Incarnation]
-	if known {
-		return
-	}
-	m.knownSince[member.Incarnation] = m.clock.Now()
-	delete(m.refused, member.Peer)
-}
-
-// isReplaced reports whether another process answered at the member's address
-// after the member was known. Two processes cannot listen there at once.
-func (m *Members) isReplaced(member epocher.Member) bool {
-	newest := m.answered[member.Peer]
-	isOther := newest.incarnation != "" && newest.incarnation != member.Incarnation
-	return isOther && newest.asked.After(m.knownSince[member.Incarnation])
-}
-
-// isUnlisted reports whether two readings apart in time lack the VM and no
-// daemon hears the member.
-func (m *Members) isUnlisted(member epocher.Member) bool {
-	since, missing := m.missingSince[member.VM]
-	if !missing || m.lastReading.Sub(since) < GoneAfter {
-		return false
-	}
-	now := m.clock.Now()
-	own, heard := m.members[member.Incarnation]
-	if heard && now.Sub(own.HeardAt) < GoneAfter {
-		return false
-	}
-	for _, other := range m.members {
-		if slices.Contains(other.Heard, member.Incarnation) {
-			return false
-		}
-	}
-	return true
-}
-
-// SilentFor returns how long a member has not been heard, from when it was
-// first asked about.
-func (m *Members) SilentFor(member epocher.Member) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.notice(member)
-	heard, ok := m.members[member.Incarnation]
-	since := m.knownSince[member.Incarnation]
-	if ok && heard.HeardAt.After(since) {
-		since = heard.HeardAt
-	}
-	return m.clock.Now().Sub(since)
-}
-
 // Expire forgets the daemons that were not heard for long, unless they are
 // watched, and what belongs to them. It returns the forgotten ones.
 func (m *Members) Expire(watched []epocher.Member) (forgotten []identifier.Incarnation) {
