Wait for events, not for times, in the tests of the exchanger

Cause: five sleeps stood for 'by then it has happened', so that a slow machine could pass or fail by chance. The server's steps are released and awaited now.

--- a/connection/exchanger/exchanger_test.go
+++ b/connection/exchanger/exchanger_test.go
@@ -121,23 +121,26 @@
 // once, and where the next answer is expected.
 func TestSecondAnswersReachNobody(t *testing.T) {
 	tests := []struct {
-		name  string
-		delay time.Duration
+		name string
+		late bool
 	}{
-		{"at once", 0},
-		{"late", 30 * time.Millisecond},
+		{"at once", false},
+		{"late", true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
+			release := make(chan struct{})
+			written := make(chan struct{})
 			address := serve(t, func(_ int, conn net.Conn, in *bufio.Reader) {
 				answerAll(conn, in, func(id string) string {
-					if test.delay == 0 {
+					if !test.late {
 						return ok(id, "body of "+id)
 					}
 					go func() {
-						time.Sleep(test.delay)
+						<-release
 						_, _ = io.WriteString(conn, ok(id, "body of "+id))
+						written <- struct{}{}
 					}()
 					return ""
 				})
@@ -148,7 +151,15 @@
 				answer, err := x.Exchange(context.Background(), address, message(id))
 				is.NoErr(err)
 				is.Equal(readAll(is, answer), "body of "+id)
-				time.Sleep(test.delay * time.Duration(i%3) / 2)
+				if !test.late {
+					continue
+				}
+				release <- struct{}{}
+				if i%2 == 0 {
+					<-written // the other ones race with the next request
+				} else {
+					go func() { <-written }()
+				}
 			}
 		})
 	}
@@ -193,24 +204,42 @@
 		answer, err := x.Exchange(context.Background(), address, message(fmt.Sprint(i)))
 		is.NoErr(err)
 		readAll(is, answer)
-		time.Sleep(20 * time.Millisecond)
+		awaitDropped(t, x, address)
+	}
+}
+
+// awaitDropped waits until the idle connection to an address has ended.
+func awaitDropped(t *testing.T, x *Exchanger, address identifier.Address) {
+	t.Helper()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, c := range x.idle[address] {
+		for deadline := time.Now().Add(5 * time.Second); c.isQuiet(); {
+			if time.Now().After(deadline) {
+				t.Fatal("the connection was not dropped")
+			}
+		}
 	}
 }
 
 func TestAnswerBeforeALongBodyWasReadLeavesTheConnectionUnused(t *testing.T) {
 	is := is.New(t)
 	const bodyBytes = 8 << 20
-	var reused atomic.Bool
+	readOn := make(chan struct{})
+	reused := make(chan bool, 2)
 	address := serve(t, func(_ int, conn net.Conn, in *bufio.Reader) {
 		req, err := http.ReadRequest(in)
 		if err != nil {
 			return
 		}
 		_, _ = io.WriteString(conn, ok(req.Header.Get("X-Id"), "early"))
-		time.Sleep(100 * time.Millisecond)
-		n, _ := io.Copy(io.Discard, req.Body)
+		if req.ContentLength <= 0 {
+			return
+		}
+		<-readOn
+		_, _ = io.Copy(io.Discard, req.Body)
 		_, err = http.ReadRequest(in)
-		reused.Store(n < bodyBytes && err == nil)
+		reused <- err == nil
 	})
 	x := newExchanger(t)
 	m := message("1")
@@ -222,8 +251,8 @@
 	answer, err = x.Exchange(context.Background(), address, message("2"))
 	is.NoErr(err)
 	is.Equal(readAll(is, answer), "early")
-	time.Sleep(200 * time.Millisecond)
-	is.True(!reused.Load())
+	close(readOn)
+	is.True(!<-reused)
 }
 
 func TestCutBodiesAreErrors(t *testing.T) {
