Split the gateway's wiring off, and open addresses in one place

Cause: read as a newcomer, gateway.go held types of the platform's seam, wiring, limits and the life of the process in 430 lines; it and the server each opened and served their addresses; versions and upstreams were read by four functions of one shape; a setting, a topic and an interface had no use. Change: drivers.go and wire.go, connection/opener for both daemons, one fetch for both topics; what had no use is gone. No behaviour changes; tests of gateway, platform and server and the linter pass.

--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -70,8 +70,6 @@
 	LimitOvershoot float64       `json:"limit-overshoot"`
 	LimitSlack     float64       `json:"limit-slack-tokens"`
 	LimitWindow    time.Duration `json:"limit-window"`
-	// Lease is the least time between orders of two holders.
-	Lease time.Duration `json:"lease"`
 	// LogLines bounds the log, in lines a second.
 	LogLines int `json:"log-lines"`
 }
--- /dev/null
+++ b/process/gateway/drivers.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"sassafraspass.dev/sassafraspass/connection/appender"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/request/carrier"
+	"sassafraspass.dev/sassafraspass/version/folder"
+)
+
+// Handler answers HTTP requests.
+type Handler = http.Handler
+
+// VersionNews are the configurations read from the platform.
+type VersionNews struct {
+	Versions []*folder.Version
+	// Broken holds an error for each record that could not be read.
+	Broken []error
+	Next   identifier.Offset
+	// Lost says that records were deleted unread.
+	Lost bool
+}
+
+// UpstreamChange is one record of an upstream.
+type UpstreamChange struct {
+	Name   identifier.UpstreamName
+	Offset identifier.Offset
+	Entry  registrar.Entry
+	Gone   bool
+	// Broken tells why the record names no upstream.
+	Broken error
+}
+
+// UpstreamNews are the changes of upstreams read from the platform.
+type UpstreamNews struct {
+	Changes []UpstreamChange
+	Next    identifier.Offset
+	Lost    bool
+}
+
+// Drivers reach the platform and speak its protocols.
+type Drivers struct {
+	ReadVMs  func(ctx context.Context) ([]appender.VM, error)
+	Announce func(ctx context.Context, vm appender.VM) error
+	Retire   func(ctx context.Context, name identifier.VMName) error
+	// AppendEpoch adds a proposal where the epochs end at an offset.
+	AppendEpoch func(ctx context.Context, data []byte, at identifier.Offset) (identifier.Offset, error)
+	ReadEpochs  func(ctx context.Context, stream identifier.StreamName, from identifier.Offset, limit int, wait time.Duration) (appender.Batch, error)
+	// NewestEpoch returns the newest proposal, nil where there is none.
+	NewestEpoch func(ctx context.Context) (data []byte, offset identifier.Offset, err error)
+	// ReadVersions and ReadUpstreams read from an offset on and wait for news.
+	// From NoOffset they return all that is in force.
+	ReadVersions  func(ctx context.Context, from identifier.Offset, wait time.Duration) (VersionNews, error)
+	ReadUpstreams func(ctx context.Context, from identifier.Offset, wait time.Duration) (UpstreamNews, error)
+
+	Protocol    carrier.Protocol
+	IsOwnAnswer func(answer, sent http.Header) bool
+
+	CallerHandler  func(c *carrier.Carrier, maxBody func() int64, isLeaving func() bool) Handler
+	DirectoryEntry func(addresses func(zone identifier.ZoneName) []identifier.Address, maxAge time.Duration) Handler
+	ReadyHandler   func(isReady func() bool) http.HandlerFunc
+}
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"time"
 
 	"sassafraspass.dev/sassafraspass/connection/appender"
@@ -63,7 +64,7 @@
 	for ctx.Err() == nil {
 		g.awaitDue(ctx)
 		asked := g.Clock.Now()
-		news, err := g.readVersions(ctx, next)
+		news, err := g.drivers.ReadVersions(ctx, next, versionWait)
 		if err != nil {
 			g.Meter.Retry(meter.RetryLogRead)
 			if !isOut && ctx.Err() == nil {
@@ -97,13 +98,6 @@
 	return ctx.Err()
 }
 
-func (g *Gateway) readVersions(ctx context.Context, next identifier.Offset) (VersionNews, error) {
-	if next == identifier.NoOffset {
-		return g.drivers.NewestVersion(ctx)
-	}
-	return g.drivers.ReadVersions(ctx, next, versionWait)
-}
-
 // installed puts a new version in force.
 func (g *Gateway) installed(version *folder.Version) {
 	g.routes.Store(router.New(version.Routes))
@@ -154,7 +148,7 @@
 			repeater.Sleep(ctx, g.Clock, gatePoll)
 			continue
 		}
-		news, err := g.readUpstreams(ctx, next)
+		news, err := g.drivers.ReadUpstreams(ctx, next, registrar.ReadWait)
 		if err != nil {
 			g.Meter.Retry(meter.RetryLogRead)
 			repeater.Sleep(ctx, g.Clock, retryPause)
@@ -174,14 +168,7 @@
 	return ctx.Err()
 }
 
-func (g *Gateway) readUpstreams(ctx context.Context, next identifier.Offset) (UpstreamNews, error) {
-	if next == identifier.NoOffset {
-		return g.drivers.ListUpstreams(ctx)
-	}
-	return g.drivers.ReadUpstreams(ctx, next, registrar.ReadWait)
-}
-
-func (g *Gateway) takeUpstreams(log logWarner, news UpstreamNews, isWhole bool) {
+func (g *Gateway) takeUpstreams(log *slog.Logger, news UpstreamNews, isWhole bool) {
 	listed := make(map[identifier.UpstreamName]bool)
 	for _, change := range news.Changes {
 		switch {
@@ -201,11 +188,6 @@
 	}
 }
 
-// logWarner is the part of a logger that is used for broken records.
-type logWarner interface {
-	Warn(msg string, args ...any)
-}
-
 // upstreamsChanged wakes the duty that passes upstreams on.
 func (g *Gateway) upstreamsChanged() {
 	select {
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -28,6 +28,7 @@
 	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/connection/listener"
+	"sassafraspass.dev/sassafraspass/connection/opener"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/asserter"
 	"sassafraspass.dev/sassafraspass/process/configurer"
@@ -158,29 +159,11 @@
 }
 
 func (s *Server) listen() (closeAll func(), err error) {
-	var opened []net.Listener
-	closeAll = func() {
-		for _, l := range opened {
-			_ = l.Close()
-		}
-	}
-	targets := []struct {
-		address identifier.Address
-		into    *net.Listener
-	}{
-		{s.settings.Callers, &s.listeners.callers},
-		{s.settings.Peers, &s.listeners.peers},
-		{s.settings.Operators, &s.listeners.operators},
-	}
-	for _, target := range targets {
-		l, err := net.Listen("tcp", string(target.address))
-		if err != nil {
-			return closeAll, err
-		}
-		opened = append(opened, l)
-		*target.into = l
-	}
-	return closeAll, nil
+	return opener.Open(net.ListenConfig{}, []opener.Target{
+		{Address: s.settings.Callers, Into: &s.listeners.callers},
+		{Address: s.settings.Peers, Into: &s.listeners.peers},
+		{Address: s.settings.Operators, Into: &s.listeners.operators},
+	})
 }
 
 // CallerAddress returns the address that callers connect to.
@@ -206,9 +189,9 @@
 		dutyCtx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return duty(dutyCtx) }, func(error) { cancel() })
 	}
-	s.addServer(&group, s.callServer, s.listeners.callers)
-	s.addServer(&group, listener.NewServer(s.peerHandler()), s.listeners.peers)
-	s.addServer(&group, listener.NewServer(s.operatorHandler()), s.listeners.operators)
+	opener.Serve(&group, s.callServer, s.listeners.callers)
+	opener.Serve(&group, listener.NewServer(s.peerHandler()), s.listeners.peers)
+	opener.Serve(&group, listener.NewServer(s.operatorHandler()), s.listeners.operators)
 	stopCtx, cancel := context.WithCancel(context.Background())
 	group.Add(func() error { return s.awaitStop(ctx, stopCtx) }, func(error) { cancel() })
 	s.Log.Info("Started.", "vm", s.settings.VM, "incarnation", s.Identity.Self.Incarnation,
@@ -237,20 +220,3 @@
 		s.snapshot.Run,
 	)
 }
-
-func (s *Server) addServer(group *run.Group, server *http.Server, l net.Listener) {
-	closed := make(chan struct{})
-	serve := func() error {
-		err := server.Serve(l)
-		if !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		<-closed
-		return nil
-	}
-	var once sync.Once
-	group.Add(serve, func(error) {
-		_ = server.Close()
-		once.Do(func() { close(closed) })
-	})
-}
