Find the next holders of limits at once after an end of all daemons

Ruled out: the store (it answered the append at once); the wait for steady members (0.4 s); proof by silence (not needed: all were replaced at their address); not being ready meanwhile (plain requests were served then).

Change: the first beat heard from a process gives up the beat under way to its address and sends another; where no hub is heard, a daemon waits at the store for the next epoch.

--- a/process/fleet/members.go
+++ b/process/fleet/members.go
@@ -44,7 +44,10 @@
 
 // Heard takes a peer's beat and returns this daemon's own.
 func (f *Fleet) Heard(beat heartbeater.Beat) heartbeater.Beat {
-	f.Members.Heard(beat)
+	isNew := f.Members.Heard(beat)
+	if isNew {
+		f.Heartbeat.Greet(beat.Peer)
+	}
 	f.learn(beat)
 	own := f.Beat()
 	own.Relay = f.Relay(beat)
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -56,6 +56,14 @@
 	}
 }
 
+// awaitEpochDue waits until this daemon has to read the epochs. Where no hub is
+// heard, it waits at the store for the epoch with those that follow them.
+func (g *Gateway) awaitEpochDue(ctx context.Context) {
+	if g.hearsHub() {
+		g.awaitDue(ctx)
+	}
+}
+
 // followVersions reads the configuration until the context ends.
 func (g *Gateway) followVersions(ctx context.Context) error {
 	log := logger.For(g.Log, logger.Config)
@@ -122,7 +130,7 @@
 // followEpochs reads the epochs until the context ends.
 func (g *Gateway) followEpochs(ctx context.Context) error {
 	t := g.EpochTailer()
-	t.Gate = g.awaitDue
+	t.Gate = g.awaitEpochDue
 	t.Truncated = func(ctx context.Context, _ identifier.Offset) error {
 		data, offset, err := g.drivers.NewestEpoch(ctx)
 		if err != nil || data == nil {
--- a/process/heartbeater/heartbeater.go
+++ b/process/heartbeater/heartbeater.go
@@ -51,8 +51,11 @@
 	Clock clockwork.Clock
 	Log   *slog.Logger
 
-	mu   sync.Mutex
-	busy map[identifier.Address]bool
+	mu sync.Mutex
+	// busy holds what ends the beat under way to an address.
+	busy map[identifier.Address]context.CancelFunc
+	// greeted holds the addresses whose beat under way was given up for a new one.
+	greeted map[identifier.Address]bool
 	// sentAt is when the newest beat was sent to an address.
 	sentAt map[identifier.Address]time.Time
 	kicked chan struct{}
@@ -61,9 +64,10 @@
 // New returns a heartbeater that has sent nothing.
 func New() *Heartbeater {
 	return &Heartbeater{
-		busy:   make(map[identifier.Address]bool),
-		sentAt: make(map[identifier.Address]time.Time),
-		kicked: make(chan struct{}, 1),
+		busy:    make(map[identifier.Address]context.CancelFunc),
+		sentAt:  make(map[identifier.Address]time.Time),
+		greeted: make(map[identifier.Address]bool),
+		kicked:  make(chan struct{}, 1),
 	}
 }
 
@@ -72,6 +76,11 @@
 	h.mu.Lock()
 	clear(h.sentAt)
 	h.mu.Unlock()
+	h.wake()
+}
+
+// wake has the due beats looked for at once.
+func (h *Heartbeater) wake() {
 	select {
 	case h.kicked <- struct{}{}:
 	default:
@@ -87,8 +96,9 @@
 	for {
 		addresses, interval := h.targets()
 		for _, address := range addresses {
-			if h.begin(address, interval) {
-				running.Go(func() { h.exchange(ctx, address) })
+			beatCtx, isDue := h.begin(ctx, address, interval)
+			if isDue {
+				running.Go(func() { h.exchange(beatCtx, address) })
 			}
 		}
 		select {
@@ -154,8 +164,6 @@
 
 func (h *Heartbeater) exchange(ctx context.Context, address identifier.Address) {
 	defer h.end(address)
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
 	asked := h.Clock.Now()
 	beat, err := h.Exchange(ctx, address, h.Beat(address))
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -170,17 +178,37 @@
 	h.Received(beat, asked)
 }
 
-// begin reports whether a beat to the address is due and none is under way.
-func (h *Heartbeater) begin(address identifier.Address, interval time.Duration) bool {
+// begin reports whether a beat to the address is due and none is under way. It
+// returns what bounds the beat.
+func (h *Heartbeater) begin(ctx context.Context, address identifier.Address, interval time.Duration) (beatCtx context.Context, isDue bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Clock.Now()
-	if h.busy[address] || now.Sub(h.sentAt[address]) < interval {
-		return false
+	_, isBusy := h.busy[address]
+	if isBusy || now.Sub(h.sentAt[address]) < interval {
+		return nil, false
 	}
-	h.busy[address] = true
+	beatCtx, h.busy[address] = context.WithTimeout(ctx, exchangeTimeout)
 	h.sentAt[address] = now
-	return true
+	return beatCtx, true
+}
+
+// Greet sends a beat at once to an address at which a process was heard for the
+// first time. One under way there, which may wait for the process before, is
+// given up.
+func (h *Heartbeater) Greet(address identifier.Address) {
+	h.mu.Lock()
+	cancel, isBusy := h.busy[address]
+	if isBusy {
+		h.greeted[address] = true
+	}
+	delete(h.sentAt, address)
+	h.mu.Unlock()
+	if isBusy {
+		cancel()
+		return
+	}
+	h.wake()
 }
 
 // forget makes the next beat to an address due at the next tick.
@@ -192,6 +220,13 @@
 
 func (h *Heartbeater) end(address identifier.Address) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
+	cancel := h.busy[address]
+	isGreeted := h.greeted[address]
 	delete(h.busy, address)
+	delete(h.greeted, address)
+	h.mu.Unlock()
+	cancel()
+	if isGreeted {
+		h.wake()
+	}
 }
--- a/process/heartbeater/members.go
+++ b/process/heartbeater/members.go
@@ -98,12 +98,12 @@
 	}
 }
 
-// Heard notes a beat.
-func (m *Members) Heard(beat Beat) {
+// Heard notes a beat. It reports whether it is the first of its daemon.
+func (m *Members) Heard(beat Beat) (isNew bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if beat.Incarnation == m.self {
-		return
+		return false
 	}
 	old, known := m.members[beat.Incarnation]
 	wasSilent := !known || m.clock.Now().Sub(old.HeardAt) > SilentAfter
@@ -112,6 +112,7 @@
 	if beat.Drained {
 		m.drained[beat.Incarnation] = true
 	}
+	return !known
 }
 
 // Answered notes which daemon answered a beat sent to an address at a time.
