--- a/process/gateway/restart_test.go
+++ b/process/gateway/restart_test.go
@@ -104,4 +104,3 @@
 	clock.Advance(gatePoll)
 	<-waited
 }
-
