Soak real daemons on the platform's stand-ins

The old soak runs the product's own daemons in one process. The users ask for real programs as separate processes, disturbed from outside.

For the links between daemons a setting is new: gateway.advertised-peers.

Clocks are not disturbed, as a test cannot set them.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 PROTOC_GEN_CONNECT_GO_VERSION := v1.21.1
 SECONDS ?= 60
 SEED ?= 1
+DAEMONS ?= 5
 
 .PHONY: demo test limits bench soak lint format generate
 
@@ -22,7 +23,9 @@
 	go test -run '^$$' -bench . -benchmem ./...
 	go test -count=1 -run '^TestPolicyReport$$' -v ./request/scheduler
 
+# Real daemons on the platform's stand-ins, and then the product's own.
 soak:
+	SOAK_SECONDS=$(SECONDS) SOAK_SEED=$(SEED) SOAK_DAEMONS=$(DAEMONS) go test -count=1 -timeout 0 -run '^TestGatewaySoak$$' -v ./platform
 	SOAK_SECONDS=$(SECONDS) SOAK_SEED=$(SEED) go test -count=1 -timeout 0 -run '^TestSoak$$' -v ./process/server
 
 lint: $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -54,6 +54,9 @@
 	// whether the daemon is ready, and callers which daemons to use.
 	Readiness identifier.Address `json:"readiness"`
 	Directory identifier.Address `json:"directory"`
+	// AdvertisedPeers is the address that other daemons reach this one at,
+	// where that is not its own; empty where it is.
+	AdvertisedPeers identifier.Address `json:"advertised-peers,omitempty"`
 	// MemoryMiB is the VM's memory; zero sets no limit.
 	MemoryMiB int64 `json:"memory-mib"`
 	// CPUShare is the part of a core that the VM has.
@@ -152,6 +155,8 @@
 		return doc.Fault("/gateway/readiness", "must be an IP address with a port")
 	case !isAddress(g.Directory):
 		return doc.Fault("/gateway/directory", "must be an IP address with a port")
+	case g.AdvertisedPeers != "" && !isAddress(g.AdvertisedPeers):
+		return doc.Fault("/gateway/advertised-peers", "must be an IP address with a port")
 	case g.MemoryMiB < 0:
 		return doc.Fault("/gateway/memory-mib", "must not be negative")
 	case g.Grace < time.Second:
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -157,11 +157,15 @@
 }
 
 func (g *Gateway) identity() fleet.Identity {
+	peer := g.current().Gateway.AdvertisedPeers
+	if peer == "" {
+		peer = identifier.Address(g.listeners.peers.Addr().String())
+	}
 	return fleet.Identity{
 		Self: epocher.Member{
 			Incarnation: identifier.Incarnation(ulid.Make().String()),
 			VM:          g.current().VM,
-			Peer:        identifier.Address(g.listeners.peers.Addr().String()),
+			Peer:        peer,
 		},
 		Zone:     g.current().Zone,
 		Caller:   identifier.Address(g.listeners.callers.Addr().String()),
