Let the roles of engines follow the mix of requests

Change: the daemon that places a service's requests knows their mean size. The split that carries most follows from it, whatever the load is; one engine changes where that gains 10%, at most 15% of them at a time. The orders are a duty with a lease: a claim in the store, on the condition that it is the newest, gives the fencing token; it is read again before each order, and a new holder waits the lease time and what an order may take. An engine gets nothing from when its order is due until its new role is listed; orders carry the engine's own count, so that late ones have no effect. No order while the store is away.

--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -50,6 +50,8 @@
 	Tokens int64
 	// Parts counts parts per million of a workspace's rate and burst.
 	Parts int64
+	// FencingToken orders the holders of a duty: a later one's is higher.
+	FencingToken int64
 )
 
 const (
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -73,6 +73,9 @@
 	LimitOvershoot float64       `json:"limit-overshoot"`
 	LimitSlack     float64       `json:"limit-slack-tokens"`
 	LimitWindow    time.Duration `json:"limit-window"`
+	// OrderLease is how long a daemon that gives engines orders must be quiet
+	// before another one does; zero gives no orders.
+	OrderLease time.Duration `json:"order-lease"`
 	// LogLines bounds the log, in lines a second.
 	LogLines int `json:"log-lines"`
 }
@@ -167,6 +170,8 @@
 		return doc.Fault("/gateway/limit-overshoot", "must not be negative")
 	case g.LimitWindow < time.Second:
 		return doc.Fault("/gateway/limit-window", "must be at least %s", time.Second)
+	case g.OrderLease < 0:
+		return doc.Fault("/gateway/order-lease", "must not be negative")
 	case g.RetryWindow < time.Second:
 		return doc.Fault("/gateway/retry-window", "must be at least %s", time.Second)
 	}
--- a/process/gateway/drivers.go
+++ b/process/gateway/drivers.go
@@ -7,7 +7,9 @@
 
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/leaser"
 	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/process/stager"
 	"sassafraspass.dev/sassafraspass/request/carrier"
 	"sassafraspass.dev/sassafraspass/version/folder"
 )
@@ -57,7 +59,12 @@
 	ReadVersions  func(ctx context.Context, from identifier.Offset, wait time.Duration) (VersionNews, error)
 	ReadUpstreams func(ctx context.Context, from identifier.Offset, wait time.Duration) (UpstreamNews, error)
 
+	// NewestClaim and AppendClaim keep who holds a duty.
+	NewestClaim func(ctx context.Context, duty string) (leaser.Newest, error)
+	AppendClaim func(ctx context.Context, duty string, data []byte, at identifier.Offset) (identifier.Offset, error)
+
 	Protocol    carrier.Protocol
+	Orders      stager.Protocol
 	IsOwnAnswer func(answer, sent http.Header) bool
 
 	CallerHandler  func(c *carrier.Carrier, maxBody func() int64, isLeaving func() bool) Handler
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"sassafraspass.dev/sassafraspass/process/logger"
 	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/process/stager"
 	"sassafraspass.dev/sassafraspass/request/broker"
 	"sassafraspass.dev/sassafraspass/request/budgeter"
 	"sassafraspass.dev/sassafraspass/request/carrier"
@@ -73,6 +74,7 @@
 	registrar *registrar.Registrar
 	placer    *placer.Placer
 	broker    *broker.Broker
+	stager    *stager.Stager
 	taker     *taker.Taker
 	retries   *budgeter.Budgeter
 	exchanger *exchanger.Exchanger
@@ -226,6 +228,7 @@
 		g.watchMembers,
 		g.placer.Run,
 		g.broker.Run,
+		g.stager.Run,
 		g.pruneConnections,
 	)
 }
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -108,6 +108,21 @@
 	return candidates
 }
 
+// placedServices returns the model services whose requests this daemon places
+// as the first in their ranking.
+func (g *Gateway) placedServices() (names []identifier.ServiceName) {
+	if !g.isServing() || !g.isHub() || !g.HearsMajority(majorityWithin) {
+		return nil
+	}
+	for name, service := range g.Follower.Version().Services {
+		if service.Engine != nil && g.candidates(name)[0].Address == "" {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 func placeHash(service identifier.ServiceName, vm identifier.VMName) uint64 {
 	return xxhash.Sum64String(string(service) + "/" + string(vm))
 }
--- a/process/gateway/wire.go
+++ b/process/gateway/wire.go
@@ -8,8 +8,10 @@
 	"sassafraspass.dev/sassafraspass/process/configurer"
 	"sassafraspass.dev/sassafraspass/process/confirmer"
 	"sassafraspass.dev/sassafraspass/process/fleet"
+	"sassafraspass.dev/sassafraspass/process/leaser"
 	"sassafraspass.dev/sassafraspass/process/logger"
 	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/process/stager"
 	"sassafraspass.dev/sassafraspass/request/broker"
 	"sassafraspass.dev/sassafraspass/request/budgeter"
 	"sassafraspass.dev/sassafraspass/request/carrier"
@@ -80,6 +82,7 @@
 	g.wireRetries(tools)
 	g.wireTaker(tools)
 	g.wireBroker(tools)
+	g.wireStager(tools)
 	g.carrier = &carrier.Carrier{
 		Version:   f.Follower.Version,
 		Routes:    g.routes.Load,
@@ -130,6 +133,28 @@
 	g.broker.Meter = tools.Meter
 }
 
+func (g *Gateway) wireStager(tools fleet.Tools) {
+	log := logger.For(tools.Log, logger.Upstream)
+	l := leaser.New()
+	l.Self = leaser.Claim{Holder: g.current().VM, Incarnation: g.Identity.Self.Incarnation}
+	l.Newest = g.drivers.NewestClaim
+	l.Append = g.drivers.AppendClaim
+	l.Settle = func() time.Duration { return g.current().Gateway.OrderLease + stager.Settle }
+	l.Clock = tools.Clock
+	l.Log = log
+	g.stager = stager.New()
+	g.stager.Self = g.current().VM
+	g.stager.Services = g.placedServices
+	g.stager.IsEnabled = func() bool { return g.current().Gateway.OrderLease > 0 }
+	g.stager.Placer = g.placer
+	g.stager.Leaser = l
+	g.stager.Exchange = g.exchanger.Exchange
+	g.stager.Protocol = g.drivers.Orders
+	g.stager.Clock = tools.Clock
+	g.stager.Log = log
+	g.stager.Meter = tools.Meter
+}
+
 func (g *Gateway) wireRetries(tools fleet.Tools) {
 	g.retries = budgeter.New(tools.Clock, retryBounds(*g.current().Gateway))
 	g.retries.Daemons = func() int { return max(len(g.Members.Live())+1, len(g.Epocher.Current().Members)) }
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -52,6 +52,8 @@
 	EventViolation       Event = "invariant-violations"
 	EventKeyCut          Event = "requests-cut-by-withdrawal"
 	EventResume          Event = "resumed-streams"
+	EventOrder           Event = "orders"
+	EventFailedOrder     Event = "failed-orders"
 )
 
 const (
@@ -69,6 +71,7 @@
 	EventRequest, EventAnswer, EventToken, EventStrayFrame, EventBrokenRecord,
 	EventRejectedRecord, EventWastedPrefill, EventPrefill,
 	EventOrphanCancelled, EventViolation, EventKeyCut, EventResume,
+	EventOrder, EventFailedOrder,
 }
 
 // Meter counts refusals, retries and events.
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -97,6 +97,33 @@
 	return statuses
 }
 
+// Advise returns the change of an engine's role that a service's requests call
+// for, and false where there is none.
+func (p *Placer) Advise(service identifier.ServiceName) (c Change, ok bool) {
+	p.with(service, func(pool *Pool, now time.Time) { c, ok = pool.Advise(now) })
+	return c, ok
+}
+
+// BeginChange gives an engine nothing more, as it gets another role.
+func (p *Placer) BeginChange(service identifier.ServiceName, name identifier.UpstreamName, to parser.Role) {
+	p.with(service, func(pool *Pool, now time.Time) { pool.BeginChange(name, to, now) })
+}
+
+// CancelChange takes back BeginChange.
+func (p *Placer) CancelChange(service identifier.ServiceName, name identifier.UpstreamName) {
+	p.with(service, func(pool *Pool, now time.Time) {
+		pool.CancelChange(name)
+		pool.Pump(now)
+	})
+}
+
+// IsClear reports whether nothing that was given to an engine has yet to start
+// there.
+func (p *Placer) IsClear(service identifier.ServiceName, name identifier.UpstreamName) (isClear bool) {
+	p.with(service, func(pool *Pool, _ time.Time) { isClear = pool.IsClear(name) })
+	return isClear
+}
+
 func (p *Placer) with(service identifier.ServiceName, use func(pool *Pool, now time.Time)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/request/placer/pool.go
+++ b/request/placer/pool.go
@@ -115,6 +115,8 @@
 	// foreign is memory held by runs that this pool did not place.
 	foreign   float64
 	foreignAt time.Time
+	// change is the change of role under way, if any.
+	change change
 }
 
 // Pool places the requests of one model service.
@@ -125,6 +127,7 @@
 	queue   []*Ticket
 	pace    float64
 	rate    float64
+	mix     mix
 }
 
 // NewPool returns a pool without engines.
@@ -148,6 +151,9 @@
 			e = &engine{}
 			p.engines[entry.Name] = e
 		}
+		if e.change.to == entry.Role || !e.entry.Born.Equal(entry.Born) {
+			e.change = change{}
+		}
 		e.entry = entry
 	}
 	for name := range p.engines {
@@ -168,6 +174,7 @@
 		giveUpAt: now.Add(ask.Patience),
 		expect:   expected(ask),
 	}
+	p.mix.add(tokens(ask.Prompt), t.expect)
 	switch wait := p.estimateWait(); {
 	case !p.has(parser.RoleDecode) || !p.has(parser.RolePrefill):
 		t.refuse(refuser.NoUpstream, "no engine is known", minRetryAfter)
@@ -354,7 +361,7 @@
 func (p *Pool) usable(role parser.Role, avoid []identifier.UpstreamName, now time.Time) []*engine {
 	var usable []*engine
 	for name, e := range p.engines {
-		if e.entry.Role == role && !now.Before(e.suspect) && !slices.Contains(avoid, name) {
+		if e.entry.Role == role && !now.Before(e.suspect) && !e.isChanging(now) && !slices.Contains(avoid, name) {
 			usable = append(usable, e)
 		}
 	}
--- a/request/placer/pool_test.go
+++ b/request/placer/pool_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -211,6 +212,9 @@
 	decode  int
 	// lostAt removes half of the decode engines.
 	lostAt time.Duration
+	// prompt and output are the mean tokens of a request, zero for the usual.
+	prompt float64
+	output float64
 }
 
 var patterns = []pattern{
@@ -244,8 +248,9 @@
 )
 
 // play runs a pattern on fake engines whose memory is the true bound: when it
-// is full, the newest run is preempted and starts anew.
-func play(pat pattern, pol policy, seed uint64) (res result) {
+// is full, the newest run is preempted and starts anew. Duties are called at
+// each tick.
+func play(pat pattern, pol policy, seed uint64, duties ...func(p *Pool, now time.Time)) (res result) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	p := newPool(pat.prefill, pat.decode)
 	running := make(map[int64]*fakeRun)
@@ -261,12 +266,15 @@
 		}
 		if at < dayLength && random.Float64() < pat.rate(at)*tick.Seconds() {
 			number++
-			r := &fakeRun{number: number, prompt: lognormal(random, 5200), output: min(lognormal(random, 4400), 8190), arrived: now}
+			r := &fakeRun{number: number, prompt: lognormal(random, cmp.Or(pat.prompt, 5200)), output: min(lognormal(random, cmp.Or(pat.output, 4400)), 8190), arrived: now}
 			asked[number] = r
 			res.asked++
 			hint := r.output * math.Exp(0.3*random.NormFloat64())
 			waiting[number] = p.Submit(policyAsk(pol, number, r, hint), now)
 		}
+		for _, duty := range duties {
+			duty(p, now)
+		}
 		p.Pump(now)
 		for n, ticket := range waiting {
 			o, ok := grantOf(ticket)
