Serve histograms of what takes a while

The users ask for latency histograms beside the counters; there were none. Seven: whole answers, first events, waits for tokens and for engines, upstreams, the age of the configuration that requests meet, appends.

--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -37,6 +37,8 @@
 func (g *Gateway) fleetDrivers() fleet.Drivers {
 	return fleet.Drivers{
 		Append: func(ctx context.Context, _ identifier.StreamName, data []byte) (identifier.Offset, error) {
+			began := g.Clock.Now()
+			defer func() { g.Meter.Took(meter.TimingAppend, g.Clock.Since(began)) }()
 			return g.drivers.AppendEpoch(ctx, data, g.Epocher.Next())
 		},
 		Read:    g.drivers.ReadEpochs,
--- a/process/gateway/wire.go
+++ b/process/gateway/wire.go
@@ -94,6 +94,7 @@
 		Places:    carrier.Places{Place: g.broker.Acquire, Report: g.broker.Reported, NextKey: g.nextKey},
 		Exchanger: x,
 		Protocol:  g.drivers.Protocol,
+		StateAge:  f.Confirmer.LogAge,
 		Clock:     tools.Clock,
 		Log:       logger.For(tools.Log, logger.Request),
 		Meter:     tools.Meter,
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -74,11 +74,46 @@
 	EventOrder, EventFailedOrder,
 }
 
-// Meter counts refusals, retries and events.
+// Timing names a histogram of durations.
+type Timing string
+
+// The timings.
+const (
+	// TimingAnswer is from a request's arrival to the end of its answer.
+	TimingAnswer Timing = "answer-time"
+	// TimingFirstEvent is from a stream's arrival to its first event.
+	TimingFirstEvent Timing = "first-event-time"
+	// TimingTokenWait is the wait for tokens of a workspace's limit, and
+	// TimingEngineWait the queue for a pair of engines.
+	TimingTokenWait  Timing = "token-wait"
+	TimingEngineWait Timing = "engine-wait"
+	// TimingUpstream is from a send to the head of the upstream's answer.
+	TimingUpstream Timing = "upstream-time"
+	// TimingStateAge is the age of the configuration that a request met.
+	TimingStateAge Timing = "state-age"
+	// TimingAppend is an append to the store.
+	TimingAppend Timing = "append-time"
+)
+
+var timings = []Timing{
+	TimingAnswer, TimingFirstEvent, TimingTokenWait, TimingEngineWait,
+	TimingUpstream, TimingStateAge, TimingAppend,
+}
+
+// The histograms' bounds double from firstBound; the last is above the longest
+// time limit of a request.
+const (
+	firstBound  = time.Millisecond
+	boundFactor = 2
+	bounds      = 17
+)
+
+// Meter counts refusals, retries and events, and times what takes a while.
 type Meter struct {
 	refusals map[refuser.Code]*counter
 	retries  map[RetryReason]*counter
 	events   map[Event]*counter
+	timings  map[Timing]tally.Histogram
 }
 
 // counter keeps its sum beside tally's, for the status report.
@@ -117,6 +152,7 @@
 		refusals: make(map[refuser.Code]*counter),
 		retries:  make(map[RetryReason]*counter),
 		events:   make(map[Event]*counter),
+		timings:  make(map[Timing]tally.Histogram),
 	}
 	for _, code := range refuser.Codes {
 		tagged := scope.Tagged(map[string]string{"code": string(code)})
@@ -129,9 +165,16 @@
 	for _, event := range events {
 		m.events[event] = &counter{tally: scope.Counter(string(event))}
 	}
+	buckets := tally.MustMakeExponentialDurationBuckets(firstBound, boundFactor, bounds)
+	for _, timing := range timings {
+		m.timings[timing] = scope.Histogram(string(timing), buckets)
+	}
 	return m
 }
 
+// Took notes a duration.
+func (m *Meter) Took(timing Timing, d time.Duration) { m.timings[timing].RecordDuration(d) }
+
 // Refusal counts one refusal. A code that this build does not know, which a
 // peer of another build may send, is not counted.
 func (m *Meter) Refusal(code refuser.Code) {
--- a/request/carrier/carrier.go
+++ b/request/carrier/carrier.go
@@ -132,6 +132,10 @@
 	Exchanger *exchanger.Exchanger
 	Protocol  Protocol
 
+	// StateAge returns the age of the configuration; negative where it is not
+	// known.
+	StateAge func() time.Duration
+
 	Clock clockwork.Clock
 	Log   *slog.Logger
 	Meter *meter.Meter
@@ -164,13 +168,16 @@
 // refusal is returned where nothing was written; an answer that was begun and
 // cannot be finished ends with ErrCut.
 func (c *Carrier) Carry(ctx context.Context, req *Request, w http.ResponseWriter) (refusal *refuser.Refusal, err error) {
+	c.Meter.Took(meter.TimingStateAge, max(0, c.StateAge()))
 	j, refusal := c.open(ctx, req)
 	if refusal != nil {
 		c.logRefused(req, nil, refusal)
 		return refusal, nil
 	}
 	j.w = newAnswerWriter(w)
+	asked := c.Clock.Now()
 	claim, refusal := c.takeTokens(ctx, j)
+	c.Meter.Took(meter.TimingTokenWait, c.Clock.Since(asked))
 	if refusal != nil {
 		c.logRefused(req, j, refusal)
 		return refusal, nil
@@ -194,6 +201,7 @@
 		c.Log.Info("Cut.", "id", req.ID, "route", j.route.Name, "upstream", j.upstream, "hops", j.hops, "ms", c.millisSince(req.Arrived), "err", err)
 	default:
 		c.Meter.Event(meter.EventAnswer)
+		c.Meter.Took(meter.TimingAnswer, c.Clock.Since(req.Arrived))
 		c.Log.Log(ctx, logger.Success, "Answered.", "id", req.ID, "route", j.route.Name, "workspace", j.workspace.Name, "tokens", weigh(j.req, j.workspace), "status", j.w.status, "upstream", j.upstream, "hops", j.hops, "ms", c.millisSince(req.Arrived))
 	}
 	return refusal, err
--- a/request/carrier/carrier_test.go
+++ b/request/carrier/carrier_test.go
@@ -137,6 +137,7 @@
 	x, cleanup := exchanger.New(clock)
 	t.Cleanup(cleanup)
 	b.Carrier = &Carrier{
+		StateAge:  func() time.Duration { return 0 },
 		Version:   func() *folder.Version { return version },
 		Routes:    func() *router.Router { return routes },
 		Registrar: list,
--- a/request/carrier/plain.go
+++ b/request/carrier/plain.go
@@ -166,7 +166,9 @@
 func (c *Carrier) exchange(ctx context.Context, j *job, upstream registrar.Entry, hop Hop) (r result) {
 	j.hops++
 	j.upstream = upstream.Name
+	sent := c.Clock.Now()
 	answer, err := c.Exchanger.Exchange(ctx, upstream.Address, c.message(j, hop))
+	c.Meter.Took(meter.TimingUpstream, c.Clock.Since(sent))
 	if err != nil {
 		r.err = err
 		r.notRun = !exchanger.WasSent(err)
--- a/request/carrier/stream.go
+++ b/request/carrier/stream.go
@@ -108,6 +108,7 @@
 		}
 		return refusal, false, nil
 	}
+	c.Meter.Took(meter.TimingEngineWait, grant.Waited)
 	c.Log.Log(ctx, logger.Success, "Placed.", "id", f.req.ID, "prefill", grant.Prefill, "decode", grant.Decode, "waited-ms", grant.Waited.Milliseconds(), "fill", grant.Fill)
 	report := placer.Report{Key: f.ask.Key, Step: placer.StepEnded}
 	defer func() { c.Places.Report(f.service.Name, report) }()
@@ -305,8 +306,7 @@
 		if whole >= 0 {
 			events := pending[:whole+2]
 			if firstAt.IsZero() {
-				firstAt = c.Clock.Now()
-				c.Places.Report(f.service.Name, placer.Report{Key: f.ask.Key, Step: placer.StepStarted})
+				firstAt = c.started(f)
 			}
 			eventsHere += f.note(events)
 			err := f.w.write(events)
@@ -338,6 +338,16 @@
 	}
 }
 
+// started notes the first event of a run, and returns its time.
+func (c *Carrier) started(f *flow) time.Time {
+	now := c.Clock.Now()
+	if f.events == 0 {
+		c.Meter.Took(meter.TimingFirstEvent, now.Sub(f.req.Arrived))
+	}
+	c.Places.Report(f.service.Name, placer.Report{Key: f.ask.Key, Step: placer.StepStarted})
+	return now
+}
+
 // note counts whole events and keeps the id of the last one.
 func (f *flow) note(events []byte) int {
 	count := bytes.Count(events, []byte("\n\n"))
