Propose the next holders sooner where all of them are gone

After an end of all daemons nobody admits until the next epoch, and each proposer waited 400 ms for stragglers. All old members are proven gone then, so that most VMs are back already; 100 ms suffice, and who comes later joins the next epoch.

Test first: TestFleetThatStartsAnewHasHoldersAtOnce. A second one holds that daemons which start together still share one epoch.

--- a/process/allotter/allotter.go
+++ b/process/allotter/allotter.go
@@ -28,6 +28,9 @@
 	// steadyFor is how long the wanted members stay the same before they are
 	// proposed, so that daemons that start together share one epoch.
 	steadyFor = 400 * time.Millisecond
+	// orphanedSteadyFor is the same where all members are gone: they were
+	// replaced, so that most daemons are there, and nobody admits meanwhile.
+	orphanedSteadyFor = 100 * time.Millisecond
 	// proposeEvery is the least time between two proposals of one daemon.
 	proposeEvery  = time.Second
 	appendTimeout = 2 * time.Second
@@ -167,11 +170,18 @@
 	if len(wanted) == 0 || slices.Equal(wanted, epoch.Members) {
 		return false
 	}
-	isSteady := now.Sub(a.wantedSince) >= steadyFor
+	isSteady := now.Sub(a.wantedSince) >= a.steadyFor(epoch)
 	isPaused := now.Sub(a.proposedAt) < proposeEvery
 	return isSteady && !isPaused && a.isProposer(epoch) && a.IsCurrent()
 }
 
+func (a *Allotter) steadyFor(epoch epocher.Epoch) time.Duration {
+	if len(epoch.Members) > 0 && !a.hasLive(epoch) {
+		return orphanedSteadyFor
+	}
+	return steadyFor
+}
+
 // isProposer reports whether this daemon is the first of the live ones that
 // propose: the members, where the epoch has fewer than all daemons. Others
 // proposing too would do no harm, as the log orders the proposals.
--- a/process/allotter/allotter_test.go
+++ b/process/allotter/allotter_test.go
@@ -153,3 +153,32 @@
 	is.True(len(h.proposed) > 0)
 	is.Equal(len(h.proposed[0].Members), 1)
 }
+
+// TestFleetThatStartsAnewHasHoldersAtOnce covers an end of all daemons: nobody
+// admits until the next epoch, so that waiting for stragglers costs more than a
+// further epoch with them.
+func TestFleetThatStartsAnewHasHoldersAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHub("new-b", "b", "c")
+	h.HearsMajority = func() bool { return false }
+	h.run(200 * time.Millisecond)
+	for _, address := range []string{"b", "c"} {
+		h.Members.Answered(identifier.Address(address), identifier.Incarnation("new-"+address), h.clock.Now())
+	}
+	h.run(300*time.Millisecond, "new-c")
+	is.Equal(len(h.proposed), 1)
+	is.Equal(len(h.proposed[0].Members), 2)
+}
+
+func TestDaemonsThatStartTogetherShareOneEpoch(t *testing.T) {
+	is := is.New(t)
+	h := newHub("b")
+	h.MaxMembers = 5
+	h.run(300*time.Millisecond, "c")
+	is.Equal(len(h.proposed), 0) // others may still come
+	h.run(300*time.Millisecond, "c", "d")
+	is.Equal(len(h.proposed), 0)
+	h.run(300*time.Millisecond, "c", "d")
+	is.Equal(len(h.proposed), 1)
+	is.Equal(len(h.proposed[0].Members), 3)
+}
