Let the next daemon propose where the first is cut off the store

Cause: the first live daemon proposes, and no other while it is heard. It was one of three that were cut off from the store from 1 to 13 s: its appends timed out while hubs that reached the store waited for it.

Change: each further daemon proposes a second later than the one before it. Where the first succeeds, nothing is left to propose by then; the log orders the rest. TestNextHubProposesWhereTheFirstCannot failed first. TestOnlyTheFirstHubProposes ran 4 s and asked that no other ever proposes, which was the fault: it holds now for the first hub's turn, and the new test for what follows.

--- a/process/allotter/allotter.go
+++ b/process/allotter/allotter.go
@@ -31,6 +31,9 @@
 	// orphanedSteadyFor is the same where all members are gone: they were
 	// replaced, so that most daemons are there, and nobody admits meanwhile.
 	orphanedSteadyFor = 100 * time.Millisecond
+	// yieldFor is how much later each further daemon proposes, should those
+	// before it be cut off from the log.
+	yieldFor = time.Second
 	// proposeEvery is the least time between two proposals of one daemon.
 	proposeEvery  = time.Second
 	appendTimeout = 2 * time.Second
@@ -159,7 +162,7 @@
 }
 
 // isDue reports whether the wanted members differ from the epoch's, have been
-// the same for a while, and this daemon is the one to propose them.
+// the same for a while, and it is this daemon's turn to propose them.
 func (a *Allotter) isDue(epoch epocher.Epoch) bool {
 	now := a.Clock.Now()
 	wanted := a.want(epoch)
@@ -170,9 +173,9 @@
 	if len(wanted) == 0 || slices.Equal(wanted, epoch.Members) {
 		return false
 	}
-	isSteady := now.Sub(a.wantedSince) >= a.steadyFor(epoch)
+	isTurn := now.Sub(a.wantedSince) >= a.steadyFor(epoch)+time.Duration(a.rank(epoch))*yieldFor
 	isPaused := now.Sub(a.proposedAt) < proposeEvery
-	return isSteady && !isPaused && a.isProposer(epoch) && a.IsCurrent()
+	return isTurn && !isPaused && a.mayPropose(epoch) && a.IsCurrent()
 }
 
 func (a *Allotter) steadyFor(epoch epocher.Epoch) time.Duration {
@@ -182,17 +185,23 @@
 	return steadyFor
 }
 
-// isProposer reports whether this daemon is the first of the live ones that
-// propose: the members, where the epoch has fewer than all daemons. Others
-// proposing too would do no harm, as the log orders the proposals.
-func (a *Allotter) isProposer(epoch epocher.Epoch) bool {
+// mayPropose reports whether this daemon is one of those that propose: the
+// members, where the epoch has fewer than all daemons, and any where all members
+// are gone.
+func (a *Allotter) mayPropose(epoch epocher.Epoch) bool {
+	return a.MaxMembers == 0 || epoch.Has(a.Self.Incarnation) || !a.hasLive(epoch)
+}
+
+// rank counts the live daemons that propose before this one. More than one
+// proposing would do no harm, as the log orders the proposals.
+func (a *Allotter) rank(epoch epocher.Epoch) (before int) {
 	for _, peer := range a.Members.Live() {
 		isRival := a.MaxMembers == 0 || epoch.Has(peer.Incarnation) || !epoch.Has(a.Self.Incarnation)
 		if isRival && peer.Incarnation < a.Self.Incarnation {
-			return false
+			before++
 		}
 	}
-	return a.MaxMembers == 0 || epoch.Has(a.Self.Incarnation) || !a.hasLive(epoch)
+	return before
 }
 
 // hasLive reports whether a member is not proven gone. It proposes whoever is
