Keep a connection whose answer overtakes its sender

Cause: the sender runs beside the reader. Where the answer was read whole before the sender's goroutine had noted its end, the connection counted as not sent and was closed. Right for an answer that comes before a long body was read, needless here: a new connection is a price, and its first bytes are late.

Ruled out: the check for quiet connections (it closes in takeIdle, after which the test's next answer would still come over a second connection, but only where bytes or an end had arrived; the stand-in sends neither); idle times (1 s).

Change: the close waits up to 5 ms for the sender's end.

--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -33,6 +33,8 @@
 	// time, and maxIdle the longest that any is kept.
 	defaultIdle = time.Second
 	maxIdle     = 20 * time.Second
+	// sentGrace is how long the end of a sending may follow the answer's end.
+	sentGrace = 5 * time.Millisecond
 	// idleMargin is subtracted from the idle time that an upstream states.
 	idleMargin = 700 * time.Millisecond
 	// maxIdlePerUpstream bounds the connections kept open to one upstream.
@@ -230,6 +232,20 @@
 	return nil
 }
 
+// awaitSent waits a moment for the end of a request's sending. An answer may be
+// read whole before its sender has noted that all was written.
+func (x *Exchanger) awaitSent(c *conn) {
+	select {
+	case <-c.sending:
+		return
+	default:
+	}
+	select {
+	case <-c.sending:
+	case <-x.clock.After(sentGrace):
+	}
+}
+
 // putIdle keeps a connection whose answer was read whole.
 func (x *Exchanger) putIdle(c *conn, keep time.Duration) {
 	x.mu.Lock()
@@ -304,6 +320,7 @@
 	b.once.Do(func() {
 		stopped := b.stop()
 		if b.whole && stopped {
+			b.exchanger.awaitSent(b.conn)
 			b.exchanger.putIdle(b.conn, b.keep)
 			return
 		}
