Log which requests are accepted during a shutdown, and on which connections

The logs of a cut stream could not tell whether its caller reused a connection or opened one to an outdated address, nor how much time the daemon had left. A request accepted during a shutdown now has a line with both, and Cut says whether its daemon was shutting down. The wrapping of the handler for callers moves from platform/ to connection/drainer, as it is the same on any platform; which requests are accepted and which responses close their connection has not changed.

--- /dev/null
+++ b/connection/drainer/drainer_test.go
@@ -0,0 +1,74 @@
+package drainer
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+)
+
+// startServer starts a server with an attached drainer. It responds with "reused" or
+// "new", which says what its connection is.
+func startServer(t *testing.T) (*Drainer, *httptest.Server) {
+	t.Helper()
+	d := New(clockwork.NewFakeClock())
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		text := "new"
+		if IsReused(r.Context()) {
+			text = "reused"
+		}
+		_, _ = io.WriteString(w, text)
+	}))
+	d.Attach(server.Config)
+	server.Start()
+	t.Cleanup(server.Close)
+	return d, server
+}
+
+// get sends a request and returns the body, and whether the connection closes.
+func get(is *is.I, server *httptest.Server) (body string, closes bool) {
+	resp, err := server.Client().Get(server.URL)
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	return string(text), resp.Close
+}
+
+func TestRequestsOnReusedConnectionsAreRecognized(t *testing.T) {
+	is := is.New(t)
+	_, server := startServer(t)
+	for _, want := range []string{"new", "reused", "reused"} {
+		body, closes := get(is, server)
+		is.Equal(body, want)
+		is.True(!closes)
+	}
+}
+
+func TestResponsesCloseTheirConnectionsDuringAShutdown(t *testing.T) {
+	is := is.New(t)
+	d, server := startServer(t)
+	d.Begin(time.Second)
+	for range 2 {
+		body, closes := get(is, server)
+		is.Equal(body, "new")
+		is.True(closes)
+	}
+}
+
+func TestShutdownEndsAfterItsTimeout(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	d := New(clock)
+	_, draining := d.Shutdown()
+	is.True(!draining)
+	d.Begin(7 * time.Second)
+	clock.Advance(time.Second)
+	shutdown, draining := d.Shutdown()
+	is.True(draining)
+	is.Equal(shutdown.Deadline.Sub(clock.Now()), 6*time.Second)
+}
--- a/process/gateway/drivers.go
+++ b/process/gateway/drivers.go
@@ -86,7 +86,7 @@
 	// CallerHandler builds the handler for callers; maxBody is in bytes.
 	// DirectoryHandler builds the one that tells callers the daemons' addresses,
 	// and ReadinessHandler the platform's readiness check.
-	CallerHandler    func(p *proxier.Proxier, maxBody func() int64, isShuttingDown func() bool) Handler
+	CallerHandler    func(p *proxier.Proxier, maxBody func() int64) Handler
 	DirectoryHandler func(addresses func(zone identifier.ZoneName) []identifier.Address, maxAge time.Duration) Handler
 	ReadinessHandler func(isReady func() bool) http.HandlerFunc
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"sassafraspass.dev/sassafraspass/annotator"
+	"sassafraspass.dev/sassafraspass/connection/drainer"
 	"sassafraspass.dev/sassafraspass/connection/exchanger"
 	"sassafraspass.dev/sassafraspass/connection/opener"
 	"sassafraspass.dev/sassafraspass/identifier"
@@ -86,6 +87,7 @@
 	ejector      *ejector.Ejector
 	proxier      *proxier.Proxier
 	callerServer *http.Server
+	drainer      *drainer.Drainer
 	router       atomic.Pointer[router.Router]
 	// lastPlacementNumber is the number in the newest placement key of this daemon.
 	lastPlacementNumber atomic.Int64
--- a/process/gateway/stop.go
+++ b/process/gateway/stop.go
@@ -32,16 +32,15 @@
 // callers are sent to it, and serves those that still come. It then gives up the
 // daemon's shares of the limits and waits for running requests.
 func (g *Gateway) shutDownGracefully(ctx context.Context) {
-	startedAt := g.Clock.Now()
 	grace := g.currentSettings().Gateway.GracePeriod
+	shutdown := g.drainer.Begin(time.Duration(drainFraction * float64(grace)))
 	g.Log.Info("Leaving.", "grace", grace)
 	g.Leaving.Store(true)
 	g.Heartbeater.SendAllNow()
 	repeater.Sleep(ctx, g.Clock, time.Duration(lingerFraction*float64(grace)))
 	g.Limiter.Drain()
 	g.Heartbeater.SendAllNow()
-	drainDeadline := startedAt.Add(time.Duration(drainFraction * float64(grace)))
-	shutdownCtx, cancel := context.WithTimeout(ctx, drainDeadline.Sub(g.Clock.Now()))
+	shutdownCtx, cancel := context.WithTimeout(ctx, shutdown.Deadline.Sub(g.Clock.Now()))
 	defer cancel()
 	err := g.callerServer.Shutdown(shutdownCtx)
 	if err != nil {
--- a/process/gateway/wire.go
+++ b/process/gateway/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sassafraspass.dev/sassafraspass/connection/drainer"
 	"sassafraspass.dev/sassafraspass/connection/exchanger"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/configurer"
@@ -84,6 +85,7 @@
 	x, closeExchanger := exchanger.New(deps.Clock)
 	x.IsMatchingResponse = g.drivers.IsMatchingResponse
 	g.exchanger = x
+	g.drainer = drainer.New(deps.Clock)
 	g.ejector = ejector.New(deps.Clock, g.currentSettings().Zone)
 	g.wireRetries(deps)
 	g.wireReserver(deps)
@@ -99,13 +101,15 @@
 		Ejector:       g.ejector,
 		Placements:    proxier.PlacementClient{Place: g.broker.Acquire, Report: g.broker.ForwardReport, NextKey: g.nextPlacementKey},
 		Exchanger:     x,
+		Drainer:       g.drainer,
 		Protocol:      g.drivers.RequestProtocol,
 		ConfigAge:     f.Confirmer.ConfirmationAge,
 		Clock:         deps.Clock,
 		Log:           logger.For(deps.Log, logger.Request),
 		Meter:         deps.Meter,
 	}
-	g.callerServer = newServer(g.drivers.CallerHandler(g.proxier, g.maxBody, f.Leaving.Load))
+	g.callerServer = newServer(g.drivers.CallerHandler(g.proxier, g.maxBody))
+	g.drainer.Attach(g.callerServer)
 	return []func(){closeFleet, closeExchanger}
 }
 
--- a/request/proxier/proxier.go
+++ b/request/proxier/proxier.go
@@ -18,6 +18,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"sassafraspass.dev/sassafraspass/connection/drainer"
 	"sassafraspass.dev/sassafraspass/connection/exchanger"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/logger"
@@ -69,6 +70,8 @@
 	// LastEventID is the id of the last event that the caller received, empty for a
 	// new stream.
 	LastEventID string
+	// OnReusedConnection is set if the connection carried earlier requests.
+	OnReusedConnection bool
 }
 
 // TokenCounts holds the prompt and output lengths that a request declares.
@@ -142,6 +145,7 @@
 	Ejector       *ejector.Ejector
 	Placements    PlacementClient
 	Exchanger     *exchanger.Exchanger
+	Drainer       *drainer.Drainer
 	Protocol      Protocol
 
 	// ConfigAge returns the age of the configuration, negative if unknown.
@@ -188,6 +192,7 @@
 		p.logRefused(req, nil, refusal)
 		return refusal, nil
 	}
+	p.logIfDraining(ctx, rs)
 	rs.w = newResponseWriter(w)
 	waitStart := p.Clock.Now()
 	claim, refusal := p.reserveTokens(ctx, rs)
@@ -212,7 +217,7 @@
 		p.logRefused(req, rs, refusal)
 	case err != nil:
 		p.Meter.CountRefusal(refuser.StreamTruncated)
-		p.Log.Info("Cut.", "id", req.ID, "route", rs.route.Name, "upstream", rs.upstream, "hops", rs.hops, "ms", p.millisSince(req.Arrived), "err", err)
+		p.Log.Info("Cut.", "id", req.ID, "route", rs.route.Name, "upstream", rs.upstream, "hops", rs.hops, "ms", p.millisSince(req.Arrived), "shutting-down", p.isDraining(), "err", err)
 	default:
 		p.Meter.CountEvent(meter.EventResponse)
 		p.Meter.ObserveDuration(meter.TimingResponse, p.Clock.Since(req.Arrived))
@@ -319,6 +324,23 @@
 	p.Log.Info("Refused.", attrs...)
 }
 
+func (p *Proxier) isDraining() bool {
+	_, draining := p.Drainer.Shutdown()
+	return draining
+}
+
+// logIfDraining logs a request that is accepted during a graceful shutdown, with the
+// time until requests are cut and the time until the request's own deadline.
+func (p *Proxier) logIfDraining(ctx context.Context, rs *requestState) {
+	shutdown, draining := p.Drainer.Shutdown()
+	if !draining {
+		return
+	}
+	now := p.Clock.Now()
+	p.Log.Log(ctx, logger.Success, "Accepted during the shutdown.", "id", rs.req.ID, "route", rs.route.Name, "reused-connection", rs.req.OnReusedConnection,
+		"since-ms", now.Sub(shutdown.Began).Milliseconds(), "left-ms", shutdown.Deadline.Sub(now).Milliseconds(), "deadline-ms", rs.deadline.Sub(now).Milliseconds())
+}
+
 func (p *Proxier) millisSince(at time.Time) int64 {
 	return p.Clock.Since(at).Milliseconds()
 }
--- a/request/proxier/proxier_test.go
+++ b/request/proxier/proxier_test.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"sassafraspass.dev/sassafraspass/connection/drainer"
 	"sassafraspass.dev/sassafraspass/connection/exchanger"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/logger"
@@ -157,9 +158,10 @@
 			IsNotRun:      func(_ int, header http.Header) bool { return header.Get("X-Not-Run") != "" },
 			IsMisdirected: func(int, http.Header) bool { return false },
 		},
-		Clock: clock,
-		Log:   logger.Discard(),
-		Meter: meter.NewNoop(),
+		Drainer: drainer.New(clock),
+		Clock:   clock,
+		Log:     logger.Discard(),
+		Meter:   meter.NewNoop(),
 	}
 	return f
 }
