Refuse requests that may outlast a shutdown once callers know of it

What callers saw: a stream that was sent 3.4 to 4.3 s after SIGTERM was accepted and broke off when the daemon ended, 7.4 s after SIGTERM (LOST).

Cause: a daemon that shuts down accepted everything until it closed its listener, at 0.55 of the grace period, and cut what still ran at 0.92 of it, without comparing the request's deadline with the time left. A stream may last 14 s; a request accepted late had as little as 3 s. The class of fault: work is accepted without a check that its process lives long enough to finish it. Ruled out by the new log lines: callers that reuse connections, which brought 5 of 17 cut streams and none of the late ones, and waiting inside the daemon (waited-ms=0 for each).

Change: once callers no longer have a cached address (its maximum age and the time in which the other daemons learn of the shutdown, at most 0.3 of the grace period), a request whose deadline is after the end of the shutdown is refused with 503, not run, shutting-down, and may go to another daemon at once. A request that is bound to end before is accepted as before, as plain calls are.

--- a/connection/drainer/drainer.go
+++ b/connection/drainer/drainer.go
@@ -13,13 +13,26 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// endMargin is the time before the end of the shutdown by which a request must end, so
+// that its response reaches the caller.
+const endMargin = 100 * time.Millisecond
+
 // Shutdown describes a graceful shutdown in progress.
 type Shutdown struct {
 	Began time.Time
+	// KnownBy is when callers have stopped using addresses that they cached before.
+	KnownBy time.Time
 	// Deadline is when requests that still run are cut.
 	Deadline time.Time
 }
 
+// Accepts reports whether a request with the given deadline may be accepted now. Once
+// callers know of the shutdown, only requests are accepted that end before it does,
+// as others may be cut.
+func (s Shutdown) Accepts(now, requestDeadline time.Time) bool {
+	return now.Before(s.KnownBy) || !requestDeadline.After(s.Deadline.Add(-endMargin))
+}
+
 // Drainer records the beginning of a graceful shutdown and wraps the handler of
 // requests. It is safe for concurrent use.
 type Drainer struct {
@@ -32,10 +45,11 @@
 	return &Drainer{clock: clock}
 }
 
-// Begin starts the shutdown. Requests that still run after the given time are cut.
-func (d *Drainer) Begin(timeout time.Duration) Shutdown {
+// Begin starts the shutdown. Callers know of it after the time announcement, and
+// requests that still run after timeout are cut.
+func (d *Drainer) Begin(announcement, timeout time.Duration) Shutdown {
 	now := d.clock.Now()
-	shutdown := Shutdown{Began: now, Deadline: now.Add(timeout)}
+	shutdown := Shutdown{Began: now, KnownBy: now.Add(announcement), Deadline: now.Add(timeout)}
 	d.shutdown.Store(&shutdown)
 	return shutdown
 }
--- a/connection/drainer/drainer_test.go
+++ b/connection/drainer/drainer_test.go
@@ -52,7 +52,7 @@
 func TestResponsesCloseTheirConnectionsDuringAShutdown(t *testing.T) {
 	is := is.New(t)
 	d, server := startServer(t)
-	d.Begin(time.Second)
+	d.Begin(0, time.Second)
 	for range 2 {
 		body, closes := get(is, server)
 		is.Equal(body, "new")
@@ -66,9 +66,34 @@
 	d := New(clock)
 	_, draining := d.Shutdown()
 	is.True(!draining)
-	d.Begin(7 * time.Second)
+	d.Begin(2*time.Second, 7*time.Second)
 	clock.Advance(time.Second)
 	shutdown, draining := d.Shutdown()
 	is.True(draining)
 	is.Equal(shutdown.Deadline.Sub(clock.Now()), 6*time.Second)
 }
+
+func TestRequestsThatMayOutlastTheShutdownAreAcceptedOnlyUntilCallersKnow(t *testing.T) {
+	tests := []struct {
+		name          string
+		since         time.Duration
+		timeToEnd     time.Duration
+		wantsAccepted bool
+	}{
+		{"long, at the start", 0, time.Minute, true},
+		{"long, just before callers know", 2*time.Second - 1, time.Minute, true},
+		{"long, once callers know", 2 * time.Second, time.Minute, false},
+		{"ends in time", 2 * time.Second, 5*time.Second - endMargin, true},
+		{"ends too late", 2 * time.Second, 5*time.Second - endMargin + 1, false},
+		{"short, near the end", 6 * time.Second, 500 * time.Millisecond, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := clockwork.NewFakeClock()
+			shutdown := New(clock).Begin(2*time.Second, 7*time.Second)
+			clock.Advance(test.since)
+			is.Equal(shutdown.Accepts(clock.Now(), clock.Now().Add(test.timeToEnd)), test.wantsAccepted)
+		})
+	}
+}
--- a/process/gateway/stop.go
+++ b/process/gateway/stop.go
@@ -11,6 +11,12 @@
 	// lingerFraction is the fraction of the grace period during which the daemon
 	// still serves callers that have its address from before.
 	lingerFraction = 0.55
+	// acceptFraction is the largest fraction of the grace period during which the
+	// daemon accepts requests that may outlast it. It does so for no longer than callers
+	// cache its address, and announceDelay, which the other daemons need to learn of the
+	// shutdown.
+	acceptFraction = 0.3
+	announceDelay  = 500 * time.Millisecond
 	// drainFraction is the fraction of the grace period after which the daemon no
 	// longer waits for running requests.
 	drainFraction = 0.92
@@ -29,11 +35,13 @@
 }
 
 // shutDownGracefully first announces that the daemon is leaving, so that no more
-// callers are sent to it, and serves those that still come. It then gives up the
+// callers are sent to it, and serves those that still come. Once callers know, it
+// refuses requests that may outlast it. It then gives up the
 // daemon's shares of the limits and waits for running requests.
 func (g *Gateway) shutDownGracefully(ctx context.Context) {
 	grace := g.currentSettings().Gateway.GracePeriod
-	shutdown := g.drainer.Begin(time.Duration(drainFraction * float64(grace)))
+	announcement := min(g.currentSettings().EntryMaxAge+announceDelay, time.Duration(acceptFraction*float64(grace)))
+	shutdown := g.drainer.Begin(announcement, time.Duration(drainFraction*float64(grace)))
 	g.Log.Info("Leaving.", "grace", grace)
 	g.Leaving.Store(true)
 	g.Heartbeater.SendAllNow()
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -32,7 +32,8 @@
 	DeadlineExceeded         Code = "deadline-exceeded"
 	NoUpstream               Code = "no-upstream"
 	NotReady                 Code = "not-ready"
-	NotCurrent               Code = "not-current" // the VM cannot confirm its configuration, or reach the holder of the limit
+	ShuttingDown             Code = "shutting-down" // the request may outlast the daemon
+	NotCurrent               Code = "not-current"   // the VM cannot confirm its configuration, or reach the holder of the limit
 	UpstreamFailed           Code = "upstream-failed"
 	UpstreamUnreached        Code = "upstream-unreached"
 	OutcomeUnknown           Code = "outcome-unknown" // the call was sent, and may have run
@@ -56,7 +57,7 @@
 var Codes = []Code{
 	UnknownRoute, MethodNotAllowed, MissingKey, MalformedKey, UnknownKey,
 	WithdrawnKey, MalformedBody, BodyTooLarge, UnknownModel, OverBurst,
-	OverLimit, QueueFull, DeadlineExceeded, NoUpstream, NotReady, NotCurrent,
+	OverLimit, QueueFull, DeadlineExceeded, NoUpstream, NotReady, ShuttingDown, NotCurrent,
 	UpstreamFailed, UpstreamUnreached, OutcomeUnknown, IdempotencyKeyMalformed,
 	IdempotencyKeyExpired, IdempotencyKeyReused, EarlierCallRunning, EarlierCallUnknown, IdempotencyKeyUnrecorded,
 	EarlierResponseNotKept,
--- a/request/proxier/proxier.go
+++ b/request/proxier/proxier.go
@@ -46,6 +46,8 @@
 	// quick retry, possibly at another daemon, may succeed.
 	retryAfter      = time.Second
 	shortRetryAfter = 500 * time.Millisecond
+	// elsewhereRetryAfter is used if another daemon may serve the request at once.
+	elsewhereRetryAfter = 10 * time.Millisecond
 )
 
 // Request is a pass-through request, whose body and target are forwarded unchanged.
@@ -192,7 +194,11 @@
 		p.logRefused(req, nil, refusal)
 		return refusal, nil
 	}
-	p.logIfDraining(ctx, rs)
+	refusal = p.checkShutdown(ctx, rs)
+	if refusal != nil {
+		p.logRefused(req, rs, refusal)
+		return refusal, nil
+	}
 	rs.w = newResponseWriter(w)
 	waitStart := p.Clock.Now()
 	claim, refusal := p.reserveTokens(ctx, rs)
@@ -329,16 +335,22 @@
 	return draining
 }
 
-// logIfDraining logs a request that is accepted during a graceful shutdown, with the
-// time until requests are cut and the time until the request's own deadline.
-func (p *Proxier) logIfDraining(ctx context.Context, rs *requestState) {
+// checkShutdown refuses a request that may outlast a graceful shutdown of this daemon.
+// It logs one that is accepted meanwhile, with the time until requests are cut and the
+// time until the request's own deadline.
+func (p *Proxier) checkShutdown(ctx context.Context, rs *requestState) *refuser.Refusal {
 	shutdown, draining := p.Drainer.Shutdown()
 	if !draining {
-		return
+		return nil
 	}
 	now := p.Clock.Now()
+	if !shutdown.Accepts(now, rs.deadline) {
+		return refuser.New(http.StatusServiceUnavailable, refuser.ShuttingDown, "this VM shuts down in %d ms, and the request may take %d ms",
+			shutdown.Deadline.Sub(now).Milliseconds(), rs.deadline.Sub(now).Milliseconds()).WithRetryAfter(elsewhereRetryAfter)
+	}
 	p.Log.Log(ctx, logger.Success, "Accepted during the shutdown.", "id", rs.req.ID, "route", rs.route.Name, "reused-connection", rs.req.OnReusedConnection,
 		"since-ms", now.Sub(shutdown.Began).Milliseconds(), "left-ms", shutdown.Deadline.Sub(now).Milliseconds(), "deadline-ms", rs.deadline.Sub(now).Milliseconds())
+	return nil
 }
 
 func (p *Proxier) millisSince(at time.Time) int64 {
