Close idle connections without dropping a request that was read on them

Cause: as the listener closed, 4.4 s after SIGTERM, net/http's Shutdown closed every connection in its state idle. A connection leaves that state only once the head of a request has been parsed; on a VM with a fifth of a core, requests were read some 100 ms before that. The evidence is the trace (the close falls on the end of the linger time, on a daemon whose log is 0.1 to 1 s late) and the test; that the request was on a reused connection is inferred, as nothing logs a request that is never served.

--- a/connection/drainer/drainer.go
+++ b/connection/drainer/drainer.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,11 +39,17 @@
 type Drainer struct {
 	clock    clockwork.Clock
 	shutdown atomic.Pointer[Shutdown]
+
+	mu sync.Mutex
+	// idle holds the connections that wait for a further request.
+	idle map[net.Conn]struct{}
+	// closesIdle is set after CloseIdle.
+	closesIdle bool
 }
 
 // New returns a drainer for a server that is not shutting down.
 func New(clock clockwork.Clock) *Drainer {
-	return &Drainer{clock: clock}
+	return &Drainer{clock: clock, idle: make(map[net.Conn]struct{})}
 }
 
 // Begin starts the shutdown. Callers know of it after the time announcement, and
@@ -54,6 +61,33 @@
 	return shutdown
 }
 
+// CloseIdle makes the server close its idle connections, now and when further ones
+// become idle. An expired read deadline closes a connection only if no request has been
+// read, while Close would also abort a request that the server is about to serve.
+func (d *Drainer) CloseIdle() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closesIdle = true
+	for c := range d.idle {
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// trackIdle is called by the server when the state of a connection changes.
+func (d *Drainer) trackIdle(c net.Conn, state http.ConnState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if state != http.StateIdle {
+		delete(d.idle, c)
+		return
+	}
+	if d.closesIdle {
+		_ = c.Close()
+		return
+	}
+	d.idle[c] = struct{}{}
+}
+
 // Shutdown returns the shutdown in progress, and false if there is none.
 func (d *Drainer) Shutdown() (Shutdown, bool) {
 	shutdown := d.shutdown.Load()
@@ -63,10 +97,11 @@
 	return *shutdown, true
 }
 
-// Attach makes the server count the requests of each connection. During a shutdown
-// it also closes each connection after its response.
+// Attach makes the server count the requests of each connection and, during a shutdown,
+// announce in each response that its connection closes.
 func (d *Drainer) Attach(server *http.Server) {
 	next := server.Handler
+	server.ConnState = d.trackIdle
 	server.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
 		return context.WithValue(ctx, requestCountKey{}, &atomic.Int64{})
 	}
--- a/process/gateway/stop.go
+++ b/process/gateway/stop.go
@@ -36,8 +36,8 @@
 
 // shutDownGracefully first announces that the daemon is leaving, so that no more
 // callers are sent to it, and serves those that still come. Once callers know, it
-// refuses requests that may outlast it. It then gives up the
-// daemon's shares of the limits and waits for running requests.
+// closes idle connections and refuses requests that may outlast it. It then gives up
+// the daemon's shares of the limits and waits for running requests.
 func (g *Gateway) shutDownGracefully(ctx context.Context) {
 	grace := g.currentSettings().Gateway.GracePeriod
 	announcement := min(g.currentSettings().EntryMaxAge+announceDelay, time.Duration(acceptFraction*float64(grace)))
@@ -45,7 +45,9 @@
 	g.Log.Info("Leaving.", "grace", grace)
 	g.Leaving.Store(true)
 	g.Heartbeater.SendAllNow()
-	repeater.Sleep(ctx, g.Clock, time.Duration(lingerFraction*float64(grace)))
+	repeater.Sleep(ctx, g.Clock, announcement)
+	g.drainer.CloseIdle()
+	repeater.Sleep(ctx, g.Clock, time.Duration(lingerFraction*float64(grace))-announcement)
 	g.Limiter.Drain()
 	g.Heartbeater.SendAllNow()
 	shutdownCtx, cancel := context.WithTimeout(ctx, shutdown.Deadline.Sub(g.Clock.Now()))
