Declare the prompt parts of a request and the evidence against them

PromptParts travels from the ingress to the daemon that places a request, Suspicion is what daemons exchange about a part.

--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -39,6 +39,8 @@
 	Incarnation string
 	// KeyDigest is the SHA-256 digest of an API key, in lower-case hex.
 	KeyDigest string
+	// PromptPartID identifies a part of a prompt that several requests may share.
+	PromptPartID string
 	// PublicationID identifies a publication, so that it takes effect only once if
 	// it is appended twice.
 	PublicationID string
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -10,6 +10,7 @@
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/registrar"
 	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/request/quarantiner"
 	"sassafraspass.dev/sassafraspass/version/parser"
 )
 
@@ -18,6 +19,9 @@
 
 // Placer holds one pool per model service. It is safe for concurrent use.
 type Placer struct {
+	// OnQuarantine is called when a part is quarantined. It must not block.
+	OnQuarantine func(service identifier.ServiceName, suspicion quarantiner.Suspicion)
+
 	clock clockwork.Clock
 	wake  chan struct{}
 
@@ -27,7 +31,7 @@
 
 // New returns a placer without pools.
 func New(clock clockwork.Clock) *Placer {
-	return &Placer{clock: clock, wake: make(chan struct{}, 1), pools: make(map[identifier.ServiceName]*Pool)}
+	return &Placer{OnQuarantine: func(identifier.ServiceName, quarantiner.Suspicion) {}, clock: clock, wake: make(chan struct{}, 1), pools: make(map[identifier.ServiceName]*Pool)}
 }
 
 // Configure sets a service's engine profile and engines.
@@ -179,3 +183,12 @@
 	}
 	return waiting
 }
+
+// Suspicions returns the evidence against the prompt parts of a service's requests.
+func (p *Placer) Suspicions(identifier.ServiceName) []quarantiner.Suspicion {
+	return nil
+}
+
+// AdoptSuspicions adds the evidence that another daemon has collected.
+func (p *Placer) AdoptSuspicions(identifier.ServiceName, []quarantiner.Suspicion) {
+}
--- a/request/placer/pool.go
+++ b/request/placer/pool.go
@@ -79,6 +79,8 @@
 	MaxOutput    identifier.Tokens
 	// OutputHint is the caller's estimate of its output length, zero if unknown.
 	OutputHint identifier.Tokens
+	// PromptParts lists the parts of the prompt that other requests may share.
+	PromptParts []identifier.PromptPartID
 	// Priority orders the queue; lower values go first.
 	Priority int
 	// TimeToDeadline is the time left until the first event is due, negative if it
--- a/request/proxier/proxier.go
+++ b/request/proxier/proxier.go
@@ -64,6 +64,8 @@
 	Arrived     time.Time
 	// Timeout is how long the caller waits for the response, zero if unknown.
 	Timeout time.Duration
+	// PromptParts lists the parts of the prompt that other requests may share.
+	PromptParts []identifier.PromptPartID
 	// Tokens holds the token counts, nil for a request without a prompt.
 	Tokens *TokenCounts
 	// LastEventID is the id of the last event that the caller received, empty for a
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -154,6 +154,7 @@
 		TimeToDeadline: ss.route.LatencyObjective - waited,
 		MaxWait:        min(maxEngineWait(ss)-waited, ss.deadline.Sub(now)),
 		Avoid:          ss.excluded,
+		PromptParts:    ss.req.PromptParts,
 	}
 	if ss.req.Tokens != nil {
 		placementRequest.PromptTokens = ss.req.Tokens.PromptTokens
