Log the prompt parts of a cut stream, and report a cut before output by itself

What an on-call engineer saw: "A stream was cut." on many daemons, without what the requests that crashed an engine share, and with an event count that includes those of earlier engines. The placing daemon was told decode-failed for a refused connection, a rejection, a cut before the first event and one in the middle of a stream.

The log lines name the parts, the workspace and whether this engine had sent an event; the step cut-before-output goes to the placing daemon, and two counters tell the cuts apart. An error in writing to the caller is no cut.

--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -65,6 +65,10 @@
 	// EventFailedRoleOrder those that failed or were not sent.
 	EventRoleOrder       Event = "orders"
 	EventFailedRoleOrder Event = "failed-orders"
+	// EventCutBeforeOutput and EventCutAfterOutput count streams that a decode engine
+	// broke off, before and after its first event.
+	EventCutBeforeOutput Event = "cuts-before-output"
+	EventCutAfterOutput  Event = "cuts-after-output"
 )
 
 const (
@@ -82,7 +86,7 @@
 	EventRequest, EventResponse, EventToken, EventMismatchedFrame, EventMalformedRecord,
 	EventRejectedRecord, EventWastedPrefill, EventPrefill,
 	EventOrphanCancelled, EventInvariantViolation, EventCutByKeyWithdrawal, EventResume,
-	EventRoleOrder, EventFailedRoleOrder,
+	EventRoleOrder, EventFailedRoleOrder, EventCutBeforeOutput, EventCutAfterOutput,
 }
 
 // Timing names a histogram of durations.
--- a/request/placer/report.go
+++ b/request/placer/report.go
@@ -22,6 +22,9 @@
 	// because the prefill or the decode engine failed.
 	StepPrefillFailed Step = "prefill-failed"
 	StepDecodeFailed  Step = "decode-failed"
+	// StepCutBeforeOutput means that the request is over because the decode engine
+	// received it and broke off before the first event.
+	StepCutBeforeOutput Step = "cut-before-output"
 )
 
 // Report announces that a placement has reached a step.
@@ -54,7 +57,7 @@
 	case StepPrefillFailed:
 		pl.prefill.markFailed(now)
 		p.release(pl)
-	case StepDecodeFailed:
+	case StepDecodeFailed, StepCutBeforeOutput:
 		pl.decode.markFailed(now)
 		p.release(pl)
 	}
--- a/request/proxier/proxier_test.go
+++ b/request/proxier/proxier_test.go
@@ -46,8 +46,12 @@
 	// respond.
 	rejecting  bool
 	abortAfter int
-	hang       bool
-	status     int
+	// abortBeforeEvents makes it abort after the header of a stream, and
+	// abortBeforeHeader after the request.
+	abortBeforeEvents bool
+	abortBeforeHeader bool
+	hang              bool
+	status            int
 }
 
 // ServeHTTP responds as the test configured it.
@@ -83,6 +87,13 @@
 		_, _ = io.WriteString(w, "plain")
 		return
 	}
+	if u.abortBeforeHeader {
+		panic(http.ErrAbortHandler)
+	}
+	if u.abortBeforeEvents {
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	u.stream(w, r, abortAfter)
 }
 
@@ -225,6 +236,32 @@
 	is.True(slices.Contains(f.steps(), placer.StepDecodeFailed))
 }
 
+// The daemon that places requests blames a crash on requests without output, so a
+// stream that was cut later, or a rejected request, must not be reported like one.
+func TestOnlyAStreamCutBeforeItsFirstEventIsReportedAsSuch(t *testing.T) {
+	tests := []struct {
+		name  string
+		setUp func(u *fakeUpstream)
+		step  placer.Step
+	}{
+		{"cut before the first event", func(u *fakeUpstream) { u.abortBeforeEvents = true }, placer.StepCutBeforeOutput},
+		{"cut before the header", func(u *fakeUpstream) { u.abortBeforeHeader = true }, placer.StepCutBeforeOutput},
+		{"cut after an event", func(u *fakeUpstream) { u.abortAfter = 1 }, placer.StepDecodeFailed},
+		{"rejected", func(u *fakeUpstream) { u.rejecting = true }, placer.StepDecodeFailed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, parser.Route{Kind: parser.RouteStream, MaxAttempts: 1}, "pre", "dec-1")
+			f.grants = []placer.Grant{{Prefill: "pre", Decode: "dec-1"}}
+			test.setUp(f.upstreams["dec-1"])
+			_, _, _ = f.serve(context.Background(), 5*time.Second)
+			steps := f.steps()
+			is.Equal(steps[len(steps)-1], test.step)
+		})
+	}
+}
+
 func TestInterruptedStreamIsNotResumedIfNotAllowed(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -48,6 +48,9 @@
 // event.
 var errIncompleteStream = errors.New("the stream ended before its first event or inside an event")
 
+// errCallerWrite means that the caller's connection failed, not the engine.
+var errCallerWrite = errors.New("cannot write to the caller")
+
 // streamState is the state of a stream in progress, which may be served by several
 // engine pairs in turn.
 type streamState struct {
@@ -61,6 +64,8 @@
 	eventCount int
 	// decodeExecutions counts the decode engines that may have executed the request.
 	decodeExecutions int
+	// hasEngineOutput is set once the current decode engine has sent an event.
+	hasEngineOutput bool
 }
 
 // serveStream sends a request to an engine pair and relays the events to the caller.
@@ -215,19 +220,21 @@
 func (p *Proxier) decode(ctx context.Context, ss *streamState, engine registrar.Entry, handle KVHandle, report *placer.Report) (refusal *refuser.Refusal, retry bool, err error) {
 	ss.hops++
 	ss.upstream = engine.Name
+	ss.hasEngineOutput = false
 	hop := Hop{Upstream: engine, Stage: StageDecode, Handle: handle, LastEventID: ss.lastEventID}
 	hopCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	response, err := p.Exchanger.Exchange(hopCtx, engine.Address, p.newUpstreamRequest(ss.requestState, hop))
 	if err != nil {
+		p.Log.Info("A decode engine did not respond.", "id", ss.req.ID, "upstream", engine.Name, "sent", exchanger.MaybeSent(err), "parts", ss.req.PromptParts, "err", err)
+		p.recordDecodeFailure(ctx, ss, engine, report)
 		if !exchanger.MaybeSent(err) {
 			go p.freeKVHandle(handle)
 		} else {
 			ss.mayHaveRun = true
 			ss.decodeExecutions++
+			p.recordCut(ctx, ss, report)
 		}
-		p.Log.Info("A decode engine did not respond.", "id", ss.req.ID, "upstream", engine.Name, "err", err)
-		p.recordDecodeFailure(ctx, ss, engine, report)
 		retry = !exchanger.MaybeSent(err) || p.mayResume(ss)
 		return p.noResponseRefusal(ctx, ss.requestState, refuser.UpstreamFailed, "the decode engine did not answer"), retry, nil
 	}
@@ -244,8 +251,11 @@
 	if err == nil {
 		return nil, false, nil
 	}
-	p.Log.Info("A stream was cut.", "id", ss.req.ID, "upstream", engine.Name, "events", ss.eventCount, "err", err)
+	p.Log.Info("A stream was cut.", "id", ss.req.ID, "upstream", engine.Name, "events", ss.eventCount, "engine-output", ss.hasEngineOutput, "workspace", ss.workspace.Name, "parts", ss.req.PromptParts, "err", err)
 	p.recordDecodeFailure(ctx, ss, engine, report)
+	if !errors.Is(err, errCallerWrite) {
+		p.recordCut(ctx, ss, report)
+	}
 	return p.noResponseRefusal(ctx, ss.requestState, refuser.StreamTruncated, "the stream was cut"), p.mayResume(ss), fmt.Errorf("%w: %w", ErrResponseTruncated, err)
 }
 
@@ -265,6 +275,19 @@
 	p.Meter.CountRetry(meter.RetryDecode)
 }
 
+// recordCut counts a decode engine that broke off, and reports whether it did so before
+// its first event. It does nothing if the request itself has ended.
+func (p *Proxier) recordCut(ctx context.Context, ss *streamState, report *placer.Report) {
+	switch {
+	case ctx.Err() != nil:
+	case ss.hasEngineOutput:
+		p.Meter.CountEvent(meter.EventCutAfterOutput)
+	default:
+		p.Meter.CountEvent(meter.EventCutBeforeOutput)
+		report.Step = placer.StepCutBeforeOutput
+	}
+}
+
 // handleRejection handles a decode engine's response that states that the request was
 // not executed. Another pair may be tried.
 func (p *Proxier) handleRejection(ctx context.Context, ss *streamState, engine registrar.Entry, handle KVHandle, response *exchanger.Response, report *placer.Report) (*refuser.Refusal, bool, error) {
@@ -311,7 +334,7 @@
 		ss.w.writeHeader(response.StatusCode, response.Header, -1)
 		err := ss.w.flush()
 		if err != nil {
-			return err
+			return fmt.Errorf("%w: %w", errCallerWrite, err)
 		}
 	}
 	var firstEventAt time.Time
@@ -333,7 +356,7 @@
 				err = ss.w.flush()
 			}
 			if err != nil {
-				return err
+				return fmt.Errorf("%w: %w", errCallerWrite, err)
 			}
 			pending = append(pending[:0], pending[boundary+2:]...)
 		}
@@ -361,6 +384,7 @@
 // time.
 func (p *Proxier) recordStreamStart(ss *streamState) time.Time {
 	now := p.Clock.Now()
+	ss.hasEngineOutput = true
 	if ss.eventCount == 0 {
 		p.Meter.ObserveDuration(meter.TimingFirstEvent, now.Sub(ss.req.Arrived))
 	}
