--- /dev/null
+++ b/request/placer/quarantine_test.go
@@ -0,0 +1,398 @@
+package placer
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+const (
+	crashDay = 30 * time.Second
+	// ruleWindow is the stability window of the deployments.
+	ruleWindow = 3 * time.Second
+	// maxSentAfterFifth is the number of requests with a poisoned part that may reach
+	// engines later than ruleWindow after its fifth crash.
+	maxSentAfterFifth = 3
+	// maxQuarantinedSound is the share of sound requests that may be refused as
+	// quarantined.
+	maxQuarantinedSound = 0.01
+	// timeToOutput is the time from the send to a decode engine until its first event.
+	timeToOutput    = 60 * time.Millisecond
+	quarantinedCode = refuser.Code("quarantined")
+)
+
+// crashLoad describes the requests and the engine crashes of one simulated day.
+type crashLoad struct {
+	// rate is the number of requests per second, and poisonedShare the fraction of them
+	// that has a poisoned part. Each entry of poisonedFrom begins another poisoned part;
+	// the ones before it no longer come.
+	rate          float64
+	poisonedShare float64
+	poisonedFrom  []time.Duration
+	// firstParts and subjects are the numbers of different first and second parts.
+	firstParts int
+	subjects   int
+	// hasHistory lets requests with the poisoned parts run well before they are poisoned.
+	hasHistory bool
+	// flapEvery is the time between unrelated crashes of one engine, and rackEvery that
+	// between crashes of half of the engines at the same moment. Zero means none.
+	flapEvery time.Duration
+	rackEvery time.Duration
+	resumable bool
+}
+
+// crashRequest is a request of the simulation.
+type crashRequest struct {
+	parts    []identifier.PromptPartID
+	shape    int
+	poisoned int
+	attempt  int
+	avoid    []identifier.UpstreamName
+	// decode is the engine that it is on, startsAt when the engine begins its output and
+	// endsAt when it ends.
+	decode   identifier.UpstreamName
+	startsAt time.Time
+	endsAt   time.Time
+	started  bool
+}
+
+// crashDayResult counts what happened to the requests of one simulated day. The slices have an
+// entry for each poisoned part.
+type crashDayResult struct {
+	crashes        []int
+	fifthCrash     []time.Time
+	sentAfterFifth []int
+	sound          int
+	soundStarted   int
+	quarantined    int
+	victims        int
+}
+
+// crashSimulation runs the requests of a crashLoad on simulated engines, whose reports arrive
+// after a delay.
+type crashSimulation struct {
+	crashLoad
+	pool    *Pool
+	random  *rand.Rand
+	now     time.Time
+	entries []registrar.Entry
+	boots   int
+	number  int64
+	// backAt holds the engines that are down, and leaves the time at which the pool learns of it.
+	backAt  map[identifier.UpstreamName]time.Time
+	leaves  map[identifier.UpstreamName]time.Time
+	waiting map[int64]*crashRequest
+	pending map[int64]*PendingRequest
+	running map[int64]*crashRequest
+	later   []laterAction
+	result  crashDayResult
+}
+
+type laterAction struct {
+	at time.Time
+	do func()
+}
+
+func runCrashDay(l crashLoad, seed uint64) crashDayResult {
+	s := &crashSimulation{
+		crashLoad: l, pool: newPool(6, 10), random: rand.New(rand.NewPCG(seed, 7)), now: start, entries: engines(6, 10),
+		backAt: make(map[identifier.UpstreamName]time.Time), leaves: make(map[identifier.UpstreamName]time.Time),
+		waiting: make(map[int64]*crashRequest), pending: make(map[int64]*PendingRequest), running: make(map[int64]*crashRequest),
+	}
+	n := len(l.poisonedFrom)
+	s.result = crashDayResult{crashes: make([]int, n), fifthCrash: make([]time.Time, n), sentAfterFifth: make([]int, n)}
+	for at := time.Duration(0); at < crashDay; at += simulationStep {
+		s.now = start.Add(at)
+		s.returnEngines()
+		s.runLater()
+		if s.random.Float64() < l.rate*simulationStep.Seconds() {
+			s.submit(s.newRequest(at))
+		}
+		s.crashUnrelated(at)
+		s.pool.ProcessQueue(s.now)
+		s.takeOutcomes()
+		s.advance()
+	}
+	return s.result
+}
+
+// newRequest returns a request whose first part and subject others share, and whose poisoned
+// part, if any, is all that poisoned requests have in common.
+func (s *crashSimulation) newRequest(at time.Duration) *crashRequest {
+	r := &crashRequest{poisoned: -1, shape: int(s.number)}
+	r.parts = append(r.parts, identifier.PromptPartID(fmt.Sprintf("first-%d", s.random.IntN(s.firstParts))))
+	newest := -1
+	for i, from := range s.poisonedFrom {
+		if at >= from {
+			newest = i
+		}
+	}
+	isDrawn := s.random.Float64() < s.poisonedShare
+	switch {
+	case isDrawn && newest >= 0:
+		r.poisoned = newest
+		r.parts = append(r.parts, poisonedPart(newest))
+	case isDrawn && s.hasHistory:
+		r.parts = append(r.parts, poisonedPart(0))
+	}
+	r.parts = append(r.parts, identifier.PromptPartID(fmt.Sprintf("subject-%d", s.random.IntN(s.subjects))))
+	return r
+}
+
+func poisonedPart(i int) identifier.PromptPartID {
+	return identifier.PromptPartID(fmt.Sprintf("poisoned-%d", i))
+}
+
+func (s *crashSimulation) submit(r *crashRequest) {
+	s.number++
+	req := newRequest(s.number, 5000+r.shape%400, 1500)
+	req.PromptParts, req.Avoid = r.parts, r.avoid
+	if r.poisoned < 0 && r.attempt == 0 {
+		s.result.sound++
+	}
+	s.waiting[s.number] = r
+	s.pending[s.number] = s.pool.Submit(req, s.now)
+}
+
+func (s *crashSimulation) takeOutcomes() {
+	for _, number := range slices.Sorted(maps.Keys(s.waiting)) {
+		r := s.waiting[number]
+		outcome, ok := outcomeOf(s.pending[number])
+		switch {
+		case !ok:
+			continue
+		case outcome.Refusal != nil && outcome.Refusal.Code == quarantinedCode && r.poisoned < 0:
+			s.result.quarantined++
+		case outcome.Refusal == nil:
+			s.send(number, r, outcome.Grant)
+		}
+		delete(s.waiting, number)
+		delete(s.pending, number)
+	}
+}
+
+func (s *crashSimulation) send(number int64, r *crashRequest, grant Grant) {
+	r.decode, r.started = grant.Decode, false
+	r.startsAt = s.now.Add(100*time.Millisecond + s.randomDelay(200*time.Millisecond))
+	r.endsAt = r.startsAt.Add(500*time.Millisecond + s.randomDelay(2*time.Second))
+	s.running[number] = r
+	if r.poisoned >= 0 {
+		fifth := s.result.fifthCrash[r.poisoned]
+		if !fifth.IsZero() && s.now.After(fifth.Add(ruleWindow)) {
+			s.result.sentAfterFifth[r.poisoned]++
+		}
+	}
+}
+
+func (s *crashSimulation) randomDelay(most time.Duration) time.Duration {
+	return time.Duration(s.random.Float64() * float64(most))
+}
+
+// advance starts and ends the requests on the engines, and crashes an engine that begins to
+// answer a poisoned request.
+func (s *crashSimulation) advance() {
+	for _, number := range slices.Sorted(maps.Keys(s.running)) {
+		r, ok := s.running[number]
+		if !ok {
+			continue // cut by a crash in this step
+		}
+		_, isDown := s.backAt[r.decode]
+		switch {
+		case isDown && !s.now.Before(r.startsAt):
+			s.finish(number, StepDecodeFailed) // connection refused
+			s.retry(r)
+		case !r.started && !s.now.Before(r.startsAt) && r.poisoned >= 0:
+			s.result.crashes[r.poisoned]++
+			if s.result.crashes[r.poisoned] == 5 {
+				s.result.fifthCrash[r.poisoned] = s.now
+			}
+			s.crash(r.decode)
+		case !r.started && !s.now.Before(r.startsAt):
+			r.started = true
+			if r.attempt == 0 && r.poisoned < 0 {
+				s.result.soundStarted++
+			}
+			s.report(Report{Key: Key{requesterName, number}, Step: StepStarted})
+		case r.started && !s.now.Before(r.endsAt):
+			s.finish(number, StepEnded)
+		}
+	}
+}
+
+func (s *crashSimulation) finish(number int64, step Step) {
+	delete(s.running, number)
+	s.report(Report{Key: Key{requesterName, number}, Step: step, Output: 1000, Elapsed: time.Second})
+}
+
+// report delivers a report as late as a batch from another daemon would arrive.
+func (s *crashSimulation) report(report Report) {
+	delay := 10*time.Millisecond + s.randomDelay(40*time.Millisecond)
+	s.later = append(s.later, laterAction{s.now.Add(delay), func() { s.pool.HandleReport(report, s.now) }})
+}
+
+func (s *crashSimulation) runLater() {
+	due := s.later
+	s.later = nil
+	for _, a := range due {
+		if s.now.Before(a.at) {
+			s.later = append(s.later, a)
+			continue
+		}
+		a.do()
+	}
+}
+
+// crash cuts all requests whose prefill has ended on an engine, which is back under another
+// name after some seconds.
+func (s *crashSimulation) crash(name identifier.UpstreamName) {
+	s.backAt[name] = s.now.Add(3*time.Second + s.randomDelay(500*time.Millisecond))
+	s.leaves[name] = s.now.Add(time.Second)
+	for _, number := range slices.Sorted(maps.Keys(s.running)) {
+		r := s.running[number]
+		switch {
+		case r.decode != name || r.startsAt.Sub(s.now) > timeToOutput:
+			continue
+		case r.started:
+			s.result.victims++
+			s.finish(number, StepDecodeFailed)
+		default:
+			s.finish(number, StepCutBeforeOutput)
+		}
+		s.retry(r)
+	}
+}
+
+// retry resumes a request on another engine if the route allows it. Else the caller of a
+// request without output repeats it once.
+func (s *crashSimulation) retry(r *crashRequest) {
+	again := *r
+	again.attempt++
+	if again.attempt > 1 {
+		return
+	}
+	delay := 5 * time.Millisecond
+	if s.resumable {
+		again.avoid = append(slices.Clone(r.avoid), r.decode)
+	} else {
+		delay = 200 * time.Millisecond
+	}
+	s.later = append(s.later, laterAction{s.now.Add(delay), func() { s.submit(&again) }})
+}
+
+// returnEngines takes crashed engines from the pool's configuration and puts the restarted ones in.
+func (s *crashSimulation) returnEngines() {
+	changed := false
+	for i, entry := range s.entries {
+		if at, ok := s.backAt[entry.Name]; ok && !s.now.Before(at) {
+			delete(s.backAt, entry.Name)
+			delete(s.leaves, entry.Name)
+			s.boots++
+			s.entries[i].Name = identifier.UpstreamName(fmt.Sprintf("e%02d-%d", i, s.boots))
+			changed = true
+		}
+		if at, ok := s.leaves[entry.Name]; ok && !s.now.Before(at) {
+			changed = true
+		}
+	}
+	if !changed {
+		return
+	}
+	var configured []registrar.Entry
+	for _, entry := range s.entries {
+		at, isLeaving := s.leaves[entry.Name]
+		if !isLeaving || s.now.Before(at) {
+			configured = append(configured, entry)
+		}
+	}
+	s.pool.Configure(s.pool.profile, configured)
+}
+
+// crashUnrelated crashes engines for reasons that lie in no request.
+func (s *crashSimulation) crashUnrelated(at time.Duration) {
+	isDue := func(every time.Duration) bool { return every > 0 && at > 0 && at%every < simulationStep }
+	var alive []identifier.UpstreamName
+	for _, entry := range s.entries {
+		_, isDown := s.backAt[entry.Name]
+		if entry.Role == parser.RoleDecode && !isDown {
+			alive = append(alive, entry.Name)
+		}
+	}
+	switch {
+	case len(alive) == 0:
+	case isDue(s.rackEvery):
+		for _, name := range alive[:len(alive)/2] {
+			s.crash(name)
+		}
+	case isDue(s.flapEvery):
+		s.crash(alive[s.random.IntN(len(alive))])
+	}
+}
+
+// Requests that share one part crashed engine after engine, because each crash was only
+// held against the engine.
+func TestPoisonedPartIsQuarantinedAfterFewCrashes(t *testing.T) {
+	from := []time.Duration{4 * time.Second}
+	tests := []struct {
+		name string
+		load crashLoad
+	}{
+		{"one in twenty", crashLoad{rate: 13, poisonedShare: 0.05, poisonedFrom: from, firstParts: 1, subjects: 50}},
+		{"one in five", crashLoad{rate: 13, poisonedShare: 0.2, poisonedFrom: from, firstParts: 1, subjects: 50}},
+		{"resumable", crashLoad{rate: 20, poisonedShare: 0.1, poisonedFrom: from, firstParts: 1, subjects: 50, resumable: true}},
+		{"rare first parts", crashLoad{rate: 40, poisonedShare: 0.05, poisonedFrom: from, firstParts: 2000, subjects: 50, resumable: true}},
+		{"rare subjects", crashLoad{rate: 40, poisonedShare: 0.05, poisonedFrom: from, firstParts: 3, subjects: 2000}},
+		{"sound before", crashLoad{rate: 20, poisonedShare: 0.1, poisonedFrom: from, firstParts: 1, subjects: 50, hasHistory: true}},
+		{"with flapping engines", crashLoad{rate: 30, poisonedShare: 0.1, poisonedFrom: from, firstParts: 2, subjects: 200, flapEvery: 1500 * time.Millisecond, resumable: true}},
+		{"with crashes of a rack", crashLoad{rate: 30, poisonedShare: 0.1, poisonedFrom: from, firstParts: 2, subjects: 200, rackEvery: 5 * time.Second}},
+		{"several in turn", crashLoad{rate: 30, poisonedShare: 0.1, poisonedFrom: []time.Duration{2 * time.Second, 9 * time.Second, 16 * time.Second}, firstParts: 2, subjects: 50, resumable: true}},
+	}
+	for _, test := range tests {
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprintf("%s, seed %d", test.name, seed), func(t *testing.T) {
+				is := is.New(t)
+				r := runCrashDay(test.load, seed)
+				t.Logf("crashes %v, sent after the fifth %v, sound %d, started %d, quarantined %d, victims %d", r.crashes, r.sentAfterFifth, r.sound, r.soundStarted, r.quarantined, r.victims)
+				for i := range test.load.poisonedFrom {
+					is.True(r.sentAfterFifth[i] <= maxSentAfterFifth)
+					is.True(r.crashes[i] <= 8)
+				}
+				is.True(float64(r.quarantined) <= maxQuarantinedSound*float64(r.sound))
+			})
+		}
+	}
+}
+
+// A crash for another reason, or of many engines at once, must not be held against the
+// parts of the requests that were about to start.
+func TestUnrelatedCrashesQuarantineNothing(t *testing.T) {
+	tests := []struct {
+		name string
+		load crashLoad
+	}{
+		{"flapping, one first part", crashLoad{rate: 30, firstParts: 1, subjects: 50, flapEvery: time.Second, resumable: true}},
+		{"flapping, rare first parts", crashLoad{rate: 40, firstParts: 2000, subjects: 20, flapEvery: time.Second, resumable: true}},
+		{"flapping, callers repeat", crashLoad{rate: 40, firstParts: 2000, subjects: 2000, flapEvery: time.Second}},
+		{"racks", crashLoad{rate: 30, firstParts: 1, subjects: 50, rackEvery: 4 * time.Second}},
+	}
+	for _, test := range tests {
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprintf("%s, seed %d", test.name, seed), func(t *testing.T) {
+				is := is.New(t)
+				r := runCrashDay(test.load, seed)
+				t.Logf("sound %d, started %d, quarantined %d", r.sound, r.soundStarted, r.quarantined)
+				is.True(float64(r.quarantined) <= maxQuarantinedSound*float64(r.sound))
+				is.True(float64(r.soundStarted) >= 0.8*float64(r.sound))
+			})
+		}
+	}
+}
