Quarantine the part of a prompt that crashes engines

Callers saw streams cut on engine after engine: a request with one certain part crashes each engine that begins to answer it, with up to ten others on board, and the router sent the next one to the next engine (and, on a route that may be resumed, the same one to a second engine).

Cause: a crash was held against the engine only. The daemon that places a service's requests knew of each placement and each cut, but not what the requests shared.

The pool holds a crash against the parts of the requests on it without output (or with output for less than 50 ms). A part is cleared by any later start of an output with it. While it is suspected, only one request with it may be before its output, so each further crash is a test; others with it wait without blocking the queue. After two failed tests (three if it has ever started) with different requests on different engines, the part with the most failed tests, the oldest start, the last in the prompt, is quarantined, and clears the others of its crashes. Requests with it are refused with 503 before a prefill, not run, with the end of the quarantine as Retry-After; their tokens are refunded, as they have not run. After 30 s, doubled with each crash, one request tests it. A retry of the request that may have crashed its engine is not placed; it waits for the batched report of the cut, and takes no retry from the budget before it has engines. Crashes at the same moment (a rack) are one test, so the first part that all requests share is not quarantined for them.

--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -69,6 +69,12 @@
 	// broke off, before and after its first event.
 	EventCutBeforeOutput Event = "cuts-before-output"
 	EventCutAfterOutput  Event = "cuts-after-output"
+	// EventPartSuspected counts crashes held against a prompt part, EventQuarantine
+	// quarantines that began or were extended, and EventQuarantineReleased those that
+	// ended because a request with the part had output.
+	EventPartSuspected      Event = "parts-suspected"
+	EventQuarantine         Event = "quarantines"
+	EventQuarantineReleased Event = "quarantines-released"
 )
 
 const (
@@ -87,6 +93,7 @@
 	EventRejectedRecord, EventWastedPrefill, EventPrefill,
 	EventOrphanCancelled, EventInvariantViolation, EventCutByKeyWithdrawal, EventResume,
 	EventRoleOrder, EventFailedRoleOrder, EventCutBeforeOutput, EventCutAfterOutput,
+	EventPartSuspected, EventQuarantine, EventQuarantineReleased,
 }
 
 // Timing names a histogram of durations.
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -50,6 +50,8 @@
 	PromptTooLarge           Code = "prompt-too-large"
 	PrefillFailed            Code = "prefill-failed"
 	StreamTruncated          Code = "stream-cut"
+	Quarantined              Code = "quarantined"     // a part of the prompt crashes engines
+	CrashSuspected           Code = "crash-suspected" // a part of the prompt may crash engines
 )
 
 // Codes lists all codes, so that each has a counter when the daemon starts.
@@ -61,7 +63,7 @@
 	IdempotencyKeyExpired, IdempotencyKeyReused, EarlierCallRunning, EarlierCallUnknown, IdempotencyKeyUnrecorded,
 	EarlierResponseNotKept,
 	ResumeUnknown, ResumeMalformed, CallerGone, ConcurrencyLimitReached,
-	PromptTooLarge, PrefillFailed, StreamTruncated,
+	PromptTooLarge, PrefillFailed, StreamTruncated, Quarantined, CrashSuspected,
 }
 
 // Refusal is an error response to a caller, whether the request ran or not. It
--- a/request/broker/broker.go
+++ b/request/broker/broker.go
@@ -19,6 +19,7 @@
 	"sassafraspass.dev/sassafraspass/process/repeater"
 	"sassafraspass.dev/sassafraspass/refuser"
 	"sassafraspass.dev/sassafraspass/request/placer"
+	"sassafraspass.dev/sassafraspass/request/quarantiner"
 )
 
 const (
@@ -228,12 +229,15 @@
 }
 
 // Run sends the queued reports in batches until the context ends, and returns the
-// context's error.
+// context's error. It also logs the decisions of this daemon's placer on prompt parts.
 func (b *Broker) Run(ctx context.Context) error {
 	for {
 		var first outgoingReport
 		select {
 		case first = <-b.outbox:
+		case decision := <-b.Placer.Decisions():
+			b.logDecision(decision)
+			continue
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -244,6 +248,31 @@
 	}
 }
 
+// logDecision logs a decision on a prompt part with the evidence that decided it.
+func (b *Broker) logDecision(d placer.QuarantineDecision) {
+	level := slog.LevelInfo
+	switch d.Change {
+	case quarantiner.ChangeQuarantined, quarantiner.ChangeExtended:
+		level = slog.LevelWarn
+		b.Meter.CountEvent(meter.EventQuarantine)
+	case quarantiner.ChangeReleased:
+		b.Meter.CountEvent(meter.EventQuarantineReleased)
+	case quarantiner.ChangeSuspected:
+		b.Meter.CountEvent(meter.EventPartSuspected)
+	}
+	attrs := []any{
+		"service", d.Service, "part", d.Suspicion.Part, "change", d.Change, "engine", d.Engine,
+		"crashes", d.Suspicion.Crashes, "requests", d.Suspicion.Requests, "rounds", d.Rounds,
+	}
+	if !d.LastStart.IsZero() {
+		attrs = append(attrs, "last-start-ms", b.Clock.Since(d.LastStart).Milliseconds())
+	}
+	if !d.Until.IsZero() {
+		attrs = append(attrs, "for-ms", b.Clock.Until(d.Until).Milliseconds())
+	}
+	b.Log.Log(context.Background(), level, "The evidence against a prompt part changed.", attrs...)
+}
+
 // collectBatches takes all reports from the outbox and groups them by address. It
 // sets the age of each report.
 func (b *Broker) collectBatches(first outgoingReport) map[identifier.Address][]messenger.PlacementReport {
--- a/request/broker/broker_test.go
+++ b/request/broker/broker_test.go
@@ -86,6 +86,7 @@
 		return nil
 	}
 	b.Clock = clock
+	b.Placer = placer.New(clock)
 	b.Log = logger.Discard()
 	b.Meter = meter.NewNoop()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/request/placer/forecast.go
+++ b/request/placer/forecast.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/request/quarantiner"
 )
 
 // placement is a request assigned to a pair of engines, waiting or running.
@@ -22,6 +23,11 @@
 	prefillTime time.Duration
 	placedAt    time.Time
 	prefilled   bool
+	// parts and shape identify the request to the quarantiner. isStarting is set until
+	// its output starts or it ends.
+	parts      []identifier.PromptPartID
+	shape      quarantiner.Shape
+	isStarting bool
 }
 
 // outputAt estimates the output tokens produced up to the given time, at a decode
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -14,24 +14,48 @@
 	"sassafraspass.dev/sassafraspass/version/parser"
 )
 
-// queueInterval is how often the queues are processed while requests wait.
-const queueInterval = 15 * time.Millisecond
+const (
+	// queueInterval is how often the queues are processed while requests wait.
+	queueInterval = 15 * time.Millisecond
+	// decisionCapacity is the number of decisions that may wait to be logged.
+	decisionCapacity = 256
+)
 
 // Placer holds one pool per model service. It is safe for concurrent use.
 type Placer struct {
-	// OnQuarantine is called when a part is quarantined. It must not block.
+	// OnQuarantine is called when a part is quarantined, and again when it has crashed
+	// another engine. It must not block nor call the placer.
 	OnQuarantine func(service identifier.ServiceName, suspicion quarantiner.Suspicion)
 
-	clock clockwork.Clock
-	wake  chan struct{}
+	clock     clockwork.Clock
+	wake      chan struct{}
+	decisions chan QuarantineDecision
 
 	mu    sync.Mutex
 	pools map[identifier.ServiceName]*Pool
 }
 
+// QuarantineDecision is a decision on a prompt part of a service's requests.
+type QuarantineDecision struct {
+	Service identifier.ServiceName
+	quarantiner.Decision
+}
+
 // New returns a placer without pools.
 func New(clock clockwork.Clock) *Placer {
-	return &Placer{OnQuarantine: func(identifier.ServiceName, quarantiner.Suspicion) {}, clock: clock, wake: make(chan struct{}, 1), pools: make(map[identifier.ServiceName]*Pool)}
+	return &Placer{
+		OnQuarantine: func(identifier.ServiceName, quarantiner.Suspicion) {},
+		clock:        clock,
+		wake:         make(chan struct{}, 1),
+		decisions:    make(chan QuarantineDecision, decisionCapacity),
+		pools:        make(map[identifier.ServiceName]*Pool),
+	}
+}
+
+// Decisions returns the decisions on prompt parts, to be logged. Those that nobody
+// receives in time are dropped.
+func (p *Placer) Decisions() <-chan QuarantineDecision {
+	return p.decisions
 }
 
 // Configure sets a service's engine profile and engines.
@@ -143,6 +167,19 @@
 		p.pools[service] = pool
 	}
 	fn(pool, p.clock.Now())
+	p.publishDecisions(service, pool)
+}
+
+func (p *Placer) publishDecisions(service identifier.ServiceName, pool *Pool) {
+	for _, decision := range pool.TakeDecisions() {
+		if decision.Change == quarantiner.ChangeQuarantined || decision.Change == quarantiner.ChangeExtended {
+			p.OnQuarantine(service, decision.Suspicion)
+		}
+		select {
+		case p.decisions <- QuarantineDecision{service, decision}:
+		default:
+		}
+	}
 }
 
 // notify wakes Run without blocking.
@@ -178,17 +215,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	for _, pool := range p.pools {
+	for service, pool := range p.pools {
 		waiting += pool.ProcessQueue(now)
+		p.publishDecisions(service, pool)
 	}
 	return waiting
 }
 
 // Suspicions returns the evidence against the prompt parts of a service's requests.
-func (p *Placer) Suspicions(identifier.ServiceName) []quarantiner.Suspicion {
-	return nil
+func (p *Placer) Suspicions(service identifier.ServiceName) (suspicions []quarantiner.Suspicion) {
+	p.withPool(service, func(pool *Pool, now time.Time) { suspicions = pool.Suspicions(now) })
+	return suspicions
 }
 
 // AdoptSuspicions adds the evidence that another daemon has collected.
-func (p *Placer) AdoptSuspicions(identifier.ServiceName, []quarantiner.Suspicion) {
+func (p *Placer) AdoptSuspicions(service identifier.ServiceName, suspicions []quarantiner.Suspicion) {
+	p.withPool(service, func(pool *Pool, now time.Time) { pool.AdoptSuspicions(suspicions, now) })
 }
--- a/request/placer/pool.go
+++ b/request/placer/pool.go
@@ -14,6 +14,7 @@
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/registrar"
 	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/request/quarantiner"
 	"sassafraspass.dev/sassafraspass/version/parser"
 )
 
@@ -63,6 +64,12 @@
 	// placementTimeout is the age at which a placement is released even if its
 	// end was never reported.
 	placementTimeout = 20 * time.Second
+	// settleTime is how long an output must last to prove that the request does not
+	// crash the engine.
+	settleTime = 50 * time.Millisecond
+	// maxRetryHold is how long a request that may have crashed its engine waits for
+	// others to clear it.
+	maxRetryHold = 500 * time.Millisecond
 )
 
 // Key identifies a placement by the daemon that requested it and a number that
@@ -153,6 +160,11 @@
 	decodeRate  float64
 	prefillRate float64
 	mix         requestMix
+	quarantine  *quarantiner.Quarantiner
+	// outputs holds the placements whose output has started less than settleTime ago.
+	outputs []*placement
+	// decisions holds the quarantiner's decisions that the Placer has not taken yet.
+	decisions []quarantiner.Decision
 }
 
 // NewPool returns a pool without engines.
@@ -162,6 +174,7 @@
 		placements:  make(map[Key]*placement),
 		decodeRate:  defaultDecodeRate,
 		prefillRate: defaultPrefillRate,
+		quarantine:  quarantiner.New(),
 	}
 }
 
@@ -189,9 +202,9 @@
 	}
 }
 
-// Submit queues a request. It refuses the request at once if an engine role is
-// missing, the prompt does not fit, or the estimated queue time exceeds
-// MaxWait. The caller must call ProcessQueue next.
+// Submit queues a request. It refuses the request at once if a part of its prompt is
+// quarantined, an engine role is missing, the prompt does not fit, or the estimated
+// queue time exceeds MaxWait. The caller must call ProcessQueue next.
 func (p *Pool) Submit(req Request, now time.Time) *PendingRequest {
 	pending := &PendingRequest{
 		Outcome:        make(chan Outcome, 1),
@@ -201,6 +214,11 @@
 		expiresAt:      now.Add(req.MaxWait),
 		expectedOutput: expectedOutput(req),
 	}
+	verdict := p.judge(pending, now)
+	if verdict.Ruling == quarantiner.Refuse {
+		pending.refuseQuarantined(verdict)
+		return pending
+	}
 	p.mix.add(tokens(req.PromptTokens), pending.expectedOutput)
 	switch wait := p.estimateQueueTime(); {
 	case !p.hasRole(parser.RoleDecode) || !p.hasRole(parser.RolePrefill):
@@ -220,6 +238,40 @@
 	r.Outcome <- Outcome{Refusal: refuser.New(http.StatusServiceUnavailable, code, "%s", reason).WithRetryAfter(retryAfter)}
 }
 
+func (r *PendingRequest) refuseQuarantined(verdict quarantiner.Verdict) {
+	refusal := refuser.New(http.StatusServiceUnavailable, refuser.Quarantined, "the prompt part %s crashes engines", verdict.Part)
+	r.Outcome <- Outcome{Refusal: refusal.WithRetryAfter(verdict.RetryAfter)}
+}
+
+// judge also holds a retry whose failed engine the pool has not heard of, because
+// reports are sent in batches and may arrive after the retry.
+func (p *Pool) judge(pending *PendingRequest, now time.Time) quarantiner.Verdict {
+	req := pending.request
+	verdict := p.quarantine.Judge(req.PromptParts, shapeOf(req), req.Avoid, now)
+	if verdict.Ruling != quarantiner.Refuse && p.awaitsReport(req) {
+		return quarantiner.Verdict{Ruling: quarantiner.Hold, Part: req.PromptParts[0], MayHaveCrashed: true}
+	}
+	return verdict
+}
+
+// awaitsReport reports whether a retry's earlier placement is still before its output on
+// an engine that the retry avoids.
+func (p *Pool) awaitsReport(req Request) bool {
+	if len(req.Avoid) == 0 || len(req.PromptParts) == 0 {
+		return false
+	}
+	for _, pl := range p.placements {
+		if pl.isStarting && pl.key.Requester == req.Key.Requester && pl.shape == shapeOf(req) && slices.Contains(req.Avoid, pl.decode.entry.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+func shapeOf(req Request) quarantiner.Shape {
+	return quarantiner.Shape{PromptTokens: req.PromptTokens, MaxOutput: req.MaxOutput, OutputHint: req.OutputHint}
+}
+
 // Cancel removes a request from the queue. It returns false if the request
 // already has an outcome.
 func (p *Pool) Cancel(pending *PendingRequest) bool {
@@ -261,17 +313,28 @@
 }
 
 // ProcessQueue assigns engines to queued requests in order, and refuses requests
-// whose MaxWait has passed. It returns the number of requests still queued.
+// whose MaxWait has passed. Requests with a suspected prompt part wait without holding
+// back others. It returns the number of requests still queued.
 func (p *Pool) ProcessQueue(now time.Time) int {
 	p.releaseExpired(now)
+	p.settleOutputs(now)
 	slices.SortStableFunc(p.queue, func(a, b *PendingRequest) int { return compareQueued(a, b, now) })
 	waiting := p.queue[:0]
 	blocked := false
 	for _, pending := range p.queue {
+		verdict := p.judge(pending, now)
+		isHeld := verdict.Ruling == quarantiner.Hold
+		hasExpired := !now.Before(pending.expiresAt)
 		switch {
-		case !now.Before(pending.expiresAt):
+		case verdict.Ruling == quarantiner.Refuse:
+			pending.refuseQuarantined(verdict)
+		case isHeld && (hasExpired || (verdict.MayHaveCrashed && now.Sub(pending.queuedAt) >= maxRetryHold)):
+			pending.refuse(refuser.CrashSuspected, "the prompt part "+string(verdict.Part)+" may crash engines", minRetryAfter)
+		case hasExpired:
 			pending.refuse(refuser.QueueFull, "no engine became free in time", p.estimateQueueTime()/2)
-		case blocked || !p.place(pending, now):
+		case isHeld:
+			waiting = append(waiting, pending)
+		case blocked || !p.place(pending, verdict.Ruling == quarantiner.Test, now):
 			// Later requests must not overtake a blocked one, which may only need
 			// more memory.
 			blocked = true
@@ -300,8 +363,9 @@
 // place assigns a request to the pair with the lowest cost, which is the decode
 // engine's forecast peak utilization plus crossZonePenalty if the zones differ. It
 // returns false if no pair has room. A decode engine without placements accepts
-// a request whatever its forecast peak.
-func (p *Pool) place(pending *PendingRequest, now time.Time) bool {
+// a request whatever its forecast peak. A request that may crash its engine goes to the
+// one with the fewest placements.
+func (p *Pool) place(pending *PendingRequest, mayCrash bool, now time.Time) bool {
 	var best Grant
 	var bestPlacement *placement
 	lowest := 0.0
@@ -325,6 +389,9 @@
 		if prefill.entry.Zone != decode.entry.Zone {
 			cost += crossZonePenalty
 		}
+		if mayCrash {
+			cost += float64(len(decode.placements))
+		}
 		if bestPlacement == nil || cost < lowest {
 			lowest = cost
 			bestPlacement = pl
@@ -356,11 +423,15 @@
 		decode:         decode,
 		prefillTime:    prefillTime,
 		placedAt:       now,
+		parts:          pending.request.PromptParts,
+		shape:          shapeOf(pending.request),
 	}
 }
 
 func (p *Pool) addPlacement(pl *placement, now time.Time) {
 	p.placements[pl.key] = pl
+	pl.isStarting = true
+	p.quarantine.BeginStart(pl.parts)
 	pl.decode.placements = append(pl.decode.placements, pl)
 	if pl.prefill.busyUntil.Before(now) {
 		pl.prefill.busyUntil = now
--- a/request/placer/report.go
+++ b/request/placer/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/request/quarantiner"
 )
 
 // Step is a point in the life of a placement.
@@ -51,6 +52,7 @@
 		pl.decoding = true
 		pl.decodeStart = now
 		pl.decode.failures = 0
+		p.recordOutput(pl)
 	case StepEnded:
 		p.updateDecodeRate(pl, report)
 		p.release(pl)
@@ -59,10 +61,67 @@
 		p.release(pl)
 	case StepDecodeFailed, StepCutBeforeOutput:
 		pl.decode.markFailed(now)
+		if report.Step == StepCutBeforeOutput || slices.Contains(p.outputs, pl) {
+			p.recordCut(pl, now)
+		}
 		p.release(pl)
 	}
 }
 
+// recordOutput ends the time in which a placement may crash its engine. Its output clears
+// the parts of its prompt after settleTime.
+func (p *Pool) recordOutput(pl *placement) {
+	if !pl.isStarting {
+		return
+	}
+	p.endStart(pl)
+	p.outputs = append(p.outputs, pl)
+}
+
+func (p *Pool) endStart(pl *placement) {
+	if pl.isStarting {
+		pl.isStarting = false
+		p.quarantine.EndStart(pl.parts)
+	}
+}
+
+// recordCut holds a crash of a placement's engine against the parts of its prompt.
+func (p *Pool) recordCut(pl *placement, now time.Time) {
+	p.settleOutputs(now)
+	p.endStart(pl)
+	p.outputs = slices.DeleteFunc(p.outputs, func(other *placement) bool { return other == pl })
+	cut := quarantiner.Cut{Engine: pl.decode.entry.Name, Parts: pl.parts, Shape: pl.shape, PlacedAt: pl.placedAt}
+	p.decisions = append(p.decisions, p.quarantine.RecordCut(cut, now)...)
+}
+
+// settleOutputs clears the parts of the prompts whose output has lasted for settleTime.
+func (p *Pool) settleOutputs(now time.Time) {
+	settled := 0
+	for settled < len(p.outputs) && now.Sub(p.outputs[settled].decodeStart) >= settleTime {
+		pl := p.outputs[settled]
+		p.decisions = append(p.decisions, p.quarantine.RecordOutput(pl.parts, pl.decodeStart)...)
+		settled++
+	}
+	p.outputs = slices.Delete(p.outputs, 0, settled)
+}
+
+// TakeDecisions returns the decisions on prompt parts since the last call.
+func (p *Pool) TakeDecisions() []quarantiner.Decision {
+	decisions := p.decisions
+	p.decisions = nil
+	return decisions
+}
+
+// Suspicions returns the evidence against prompt parts.
+func (p *Pool) Suspicions(now time.Time) []quarantiner.Suspicion {
+	return p.quarantine.Suspicions(now)
+}
+
+// AdoptSuspicions adds the evidence that another daemon has collected.
+func (p *Pool) AdoptSuspicions(suspicions []quarantiner.Suspicion, now time.Time) {
+	p.quarantine.Adopt(suspicions, now)
+}
+
 // recordPrefill records that a prefill is done and recomputes the prefill engine's
 // backlog. It also updates the prefill rate if no other prompt was queued ahead of
 // this one.
@@ -96,6 +155,7 @@
 // release removes a placement from the pool and its decode engine, and its
 // unfinished prefill from the prefill engine's backlog.
 func (p *Pool) release(pl *placement) {
+	p.endStart(pl)
 	delete(p.placements, pl.key)
 	pl.decode.placements = slices.DeleteFunc(pl.decode.placements, func(other *placement) bool { return other == pl })
 	if !pl.prefilled {
--- a/request/proxier/proxier_test.go
+++ b/request/proxier/proxier_test.go
@@ -366,3 +366,15 @@
 	is.NoErr(err)
 	is.Equal(f.upstreams["a"].runs+f.upstreams["b"].runs+f.upstreams["c"].runs, 2)
 }
+
+// A request whose retry is refused used up retries that sound requests need.
+func TestARefusedPlacementTakesNoRetryFromTheBudget(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, parser.Route{Kind: parser.RouteStream, MaxAttempts: 2, AllowStreamFailover: true}, "pre", "dec-1")
+	f.RetryBudget.SetBounds(budgeter.Bounds{Ratio: 0, Extra: 3, Window: 10 * time.Second})
+	f.grants = []placer.Grant{{Prefill: "pre", Decode: "dec-1"}}
+	f.upstreams["dec-1"].abortBeforeEvents = true
+	_, _, err := f.serve(context.Background(), 5*time.Second)
+	is.True(errors.Is(err, ErrResponseTruncated))
+	is.True(f.takePlacementRetry(&requestState{service: parser.Service{Name: "s"}}))
+}
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -58,6 +58,10 @@
 	placementRequest placer.Request
 	// excluded lists engines that failed or rejected the request.
 	excluded []identifier.UpstreamName
+	// placements counts the engine pairs that were granted, and lastRefusal is the
+	// outcome of the latest one.
+	placements  int
+	lastRefusal *refuser.Refusal
 	// lastEventID is the id of the last event that the caller received.
 	lastEventID string
 	// eventCount is the number of complete events from all decode engines.
@@ -73,13 +77,11 @@
 func (p *Proxier) serveStream(ctx context.Context, rs *requestState) (*refuser.Refusal, error) {
 	ss := &streamState{requestState: rs, lastEventID: rs.req.LastEventID}
 	var refusal *refuser.Refusal
-	for try := range maxPlacements {
-		if try > 0 && !p.takePlacementRetry(rs) {
-			break
-		}
+	for range maxPlacements {
 		var retry bool
 		var err error
 		refusal, retry, err = p.tryPlacement(ctx, ss)
+		ss.lastRefusal = refusal
 		if refusal == nil && err == nil {
 			return nil, nil
 		}
@@ -126,9 +128,13 @@
 		return refusal, false, nil
 	}
 	p.Meter.ObserveDuration(meter.TimingEngineWait, grant.Waited)
-	p.Log.Log(ctx, logger.Success, "Placed.", "id", ss.req.ID, "prefill", grant.Prefill, "decode", grant.Decode, "waited-ms", grant.Waited.Milliseconds(), "fill", grant.PeakUtilization)
+	p.Log.Log(ctx, logger.Success, "Placed.", "id", ss.req.ID, "placement", ss.placementRequest.Key.Number, "prefill", grant.Prefill, "decode", grant.Decode, "waited-ms", grant.Waited.Milliseconds(), "fill", grant.PeakUtilization)
 	report := placer.Report{Key: ss.placementRequest.Key, Step: placer.StepEnded}
 	defer func() { p.Placements.Report(ss.service.Name, report) }()
+	if ss.placements > 0 && !p.takePlacementRetry(ss.requestState) {
+		return ss.lastRefusal, false, nil
+	}
+	ss.placements++
 	prefill, decode, ok := p.findEngines(ss, grant)
 	if !ok {
 		return p.noResponseRefusal(ctx, ss.requestState, refuser.NoUpstream, "the engine has left"), true, nil
