Let a resumed stream wait for engines from its latest event

Callers saw streams cut for good after an engine's crash, though other engines were free: of a stream that had run for longer than a caller waits for the first event (3.05 s on these sites), the time to wait for engines was over before the retry.

A caller gives up after a gap since the latest event, so the wait is measured from there. The broker refuses a request without time left and backs off from nobody.

Both tests failed before: no-upstream instead of queue-full, and a wait of less than a second.

--- a/request/broker/broker.go
+++ b/request/broker/broker.go
@@ -109,8 +109,8 @@
 var errSilent = errors.New("the daemon is silent")
 
 // Acquire requests a pair of engines from the candidates in order until one responds
-// with a grant or a refusal. If none responds, it refuses with NoUpstream, or with
-// CallerGone if the context has ended.
+// with a grant or a refusal. If none responds, it refuses with NoUpstream, with QueueFull
+// if no time is left to wait, or with CallerGone if the context has ended.
 func (b *Broker) Acquire(ctx context.Context, service identifier.ServiceName, req placer.Request) (placer.Grant, *refuser.Refusal) {
 	start := b.Clock.Now()
 	for _, candidate := range b.Candidates(service) {
@@ -121,6 +121,10 @@
 		remaining := req
 		remaining.TimeToDeadline -= waited
 		remaining.MaxWait -= waited
+		if remaining.MaxWait <= 0 {
+			// A call without time would fail and look like a daemon that does not respond.
+			return placer.Grant{}, refuser.New(http.StatusServiceUnavailable, refuser.QueueFull, "no time is left to wait for engines").WithRetryAfter(time.Second)
+		}
 		grant, refusal, err := b.placeAt(ctx, candidate, service, remaining)
 		if err == nil {
 			if refusal == nil {
--- a/request/broker/broker_test.go
+++ b/request/broker/broker_test.go
@@ -44,7 +44,7 @@
 	f.mu.Lock()
 	f.called = append(f.called, address)
 	f.mu.Unlock()
-	if f.hanging[address] {
+	if f.hanging[address] || ctx.Err() != nil {
 		<-ctx.Done()
 		return placer.Grant{}, nil, ctx.Err()
 	}
@@ -136,6 +136,21 @@
 	is.Equal(grant.Decode, identifier.UpstreamName("engine-of-h1"))
 }
 
+// A retry whose time to wait was over made the daemon back off from all daemons that
+// place requests, so that later requests were placed without knowledge of the others.
+func TestARequestWithoutTimeToWaitIsNotHeldAgainstThePlacingDaemon(t *testing.T) {
+	is := is.New(t)
+	b, daemons, _ := newBroker(t, "h1", "h2")
+	late := newRequest(1)
+	late.MaxWait = -time.Second
+	_, refusal := b.Acquire(context.Background(), service, late)
+	is.Equal(refusal.Code, refuser.QueueFull)
+	grant, refusal := b.Acquire(context.Background(), service, newRequest(2))
+	is.Equal(refusal, nil)
+	is.Equal(grant.Decode, identifier.UpstreamName("engine-of-h1"))
+	is.Equal(daemons.called, []identifier.Address{"h1"})
+}
+
 func TestRequestDoesNotWaitForSilentDaemon(t *testing.T) {
 	is := is.New(t)
 	b, daemons, clock := newBroker(t, "h1", "h2")
--- a/request/proxier/proxier_test.go
+++ b/request/proxier/proxier_test.go
@@ -117,7 +117,9 @@
 	upstreams map[string]*fakeUpstream
 	reports   []placer.Report
 	grants    []placer.Grant
-	mu        sync.Mutex
+	// requests holds the requests for engine pairs.
+	requests []placer.Request
+	mu       sync.Mutex
 }
 
 func newFixture(t *testing.T, route parser.Route, names ...string) *fixture {
@@ -176,9 +178,10 @@
 }
 
 // place grants the test's engine pairs in order.
-func (f *fixture) place(context.Context, identifier.ServiceName, placer.Request) (placer.Grant, *refuser.Refusal) {
+func (f *fixture) place(_ context.Context, _ identifier.ServiceName, req placer.Request) (placer.Grant, *refuser.Refusal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.requests = append(f.requests, req)
 	if len(f.grants) == 0 {
 		return placer.Grant{}, refuser.New(http.StatusServiceUnavailable, refuser.QueueFull, "no pair is left").WithRetryAfter(time.Second)
 	}
@@ -378,3 +381,21 @@
 	is.True(errors.Is(err, ErrResponseTruncated))
 	is.True(f.takePlacementRetry(&requestState{service: parser.Service{Name: "s"}}))
 }
+
+// A stream that was cut after it had run for longer than a caller waits for the first
+// event had no time left to wait for other engines, and was given up.
+func TestAResumedStreamMayWaitForEnginesFromItsLatestEvent(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, parser.Route{Kind: parser.RouteStream, MaxAttempts: 2, AllowStreamFailover: true}, "pre", "dec-1", "dec-2")
+	f.grants = slices.Clone(twoGrants)
+	f.upstreams["dec-1"].abortAfter = 3
+	w := httptest.NewRecorder()
+	req := &Request{
+		ID: "id", Host: "h", Method: http.MethodPost, Target: "/p/x", Path: "/p/x", Header: http.Header{},
+		Body: []byte("body"), Arrived: f.Clock.Now().Add(-10 * time.Second), Timeout: 30 * time.Second, Tokens: &TokenCounts{PromptTokens: 10, MaxOutput: 10},
+	}
+	_, err := f.Serve(context.Background(), req, w)
+	is.NoErr(err)
+	is.Equal(len(f.requests), 2)
+	is.True(f.requests[1].MaxWait > time.Second)
+}
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -68,6 +68,9 @@
 	eventCount int
 	// decodeExecutions counts the decode engines that may have executed the request.
 	decodeExecutions int
+	// waitingSince is when the caller began to wait for the next event: the arrival, or
+	// the latest event.
+	waitingSince time.Time
 	// hasEngineOutput is set once the current decode engine has sent an event.
 	hasEngineOutput bool
 }
@@ -75,7 +78,7 @@
 // serveStream sends a request to an engine pair and relays the events to the caller.
 // If the pair fails and a retry is allowed, it tries another one.
 func (p *Proxier) serveStream(ctx context.Context, rs *requestState) (*refuser.Refusal, error) {
-	ss := &streamState{requestState: rs, lastEventID: rs.req.LastEventID}
+	ss := &streamState{requestState: rs, lastEventID: rs.req.LastEventID, waitingSince: rs.req.Arrived}
 	var refusal *refuser.Refusal
 	for range maxPlacements {
 		var retry bool
@@ -163,7 +166,7 @@
 		Key:            p.Placements.NextKey(),
 		Priority:       priority,
 		TimeToDeadline: ss.route.LatencyObjective - waited,
-		MaxWait:        min(maxEngineWait(ss)-waited, ss.deadline.Sub(now)),
+		MaxWait:        min(maxEngineWait(ss)-now.Sub(ss.waitingSince), ss.deadline.Sub(now)),
 		Avoid:          ss.excluded,
 		PromptParts:    ss.req.PromptParts,
 	}
@@ -175,8 +178,8 @@
 	return placementRequest
 }
 
-// maxEngineWait returns how long after its arrival a stream may wait for engines, so
-// that its first event reaches the caller before the caller gives up.
+// maxEngineWait returns how long a stream may wait for engines after its arrival or its
+// latest event, so that the next event reaches the caller before the caller gives up.
 func maxEngineWait(ss *streamState) time.Duration {
 	longest := max(minEventWait, objectiveWaitFactor*ss.route.LatencyObjective, gapWaitFactor*ss.route.MaxEventGap)
 	return longest - eventWaitMargin - minPrefillTime
@@ -357,6 +360,7 @@
 				firstEventAt = p.recordStreamStart(ss)
 			}
 			engineEvents += ss.recordEvents(events)
+			ss.waitingSince = p.Clock.Now()
 			err := ss.w.write(events)
 			if err == nil {
 				err = ss.w.flush()
