Share the evidence against prompt parts in heartbeats

One daemon places all requests of a service, so it alone collects the evidence against a part that crashes engines. When that daemon is killed, leaves, freezes or is cut off, another one places, and would have to crash as many engines again to learn the same part.

The daemon that places a service's requests now adds its evidence to each heartbeat and response; the others adopt it, and so does a daemon that joins the epoch or is no hub. A daemon that placed requests for a while, as a fallback or before it left, sends what exceeds the others' reports until they report it too. A quarantine is sent at once. LastCrash travels as an age, which is rounded up, and in a response includes the time of the exchange: clocks may differ.

A report that was received before is not adopted again, because the part may have been cleared since, and the daemon that places decides itself whether a part is still quarantined unless another daemon saw further crashes. A crash counts as another one only if it is 3 s newer than the known one, so that two daemons that both think they place cannot keep a crash young.

The sharer's tests failed with one rule each removed: with a margin of 2 s TestAgesOfRelayedCrashesAddUp, without the check for repeats TestRefutedEvidenceIsNotAdoptedAgain, without the check for exceeding evidence TestEvidenceOfFallbackReachesThePlacingDaemon and TestOtherDaemonsDoNotRepeatTheEvidence, with others' quarantines adopted while placing TestOlderEvidenceDoesNotOverrideThePlacingDaemons.

--- a/connection/messenger/codec.go
+++ b/connection/messenger/codec.go
@@ -32,6 +32,7 @@
 	msg.Weight = heartbeat.Weight
 	msg.Marks = encodeMarks(heartbeat.Marks)
 	msg.Relay = encodeRelay(heartbeat.Relay)
+	msg.Suspicions = encodeSuspicions(heartbeat.Suspicions)
 	for _, load := range heartbeat.Loads {
 		msg.Loads = append(msg.Loads, &peerv1.EngineLoad{
 			Upstream: string(load.Upstream),
@@ -61,6 +62,7 @@
 	heartbeat.Weight = msg.GetWeight()
 	heartbeat.Marks = decodeMarks(msg.GetMarks())
 	heartbeat.Relay = decodeRelay(msg.GetRelay())
+	heartbeat.Suspicions = decodeSuspicions(msg.GetSuspicions())
 	for _, load := range msg.GetLoads() {
 		heartbeat.Loads = append(heartbeat.Loads, heartbeater.EngineLoad{
 			Upstream: identifier.UpstreamName(load.GetUpstream()),
@@ -71,8 +73,8 @@
 	return heartbeat
 }
 
-// encodeAge converts the age of a confirmation to milliseconds. It rounds up, so
-// that the confirmation never looks newer than it is.
+// encodeAge converts the age of a confirmation or a crash to milliseconds. It rounds
+// up, so that neither ever looks newer than it is.
 func encodeAge(age time.Duration) int64 {
 	if age == confirmer.Never {
 		return neverAge
--- a/connection/messenger/heartbeat_test.go
+++ b/connection/messenger/heartbeat_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -61,3 +63,29 @@
 		})
 	}
 }
+
+// TestEvidenceInHeartbeatsNeverLooksNewerThanItIs guards against evidence that never
+// expires because daemons send it to each other again and again.
+func TestEvidenceInHeartbeatsNeverLooksNewerThanItIs(t *testing.T) {
+	is := is.New(t)
+	heartbeat := newHeartbeat(0)
+	heartbeat.Suspicions = []heartbeater.Suspicion{
+		{Service: "llm", Part: "5c1e07a2", Crashes: 5, Requests: 4, Age: 1500 * time.Microsecond, Quarantined: true},
+		{Service: "llm", Part: "91bd3f06", Crashes: 1, Requests: 1},
+	}
+	want := slices.Clone(heartbeat.Suspicions)
+	want[0].Age = 2 * time.Millisecond
+	want[1].Age = time.Millisecond
+	is.Equal(decodeHeartbeat(encodeHeartbeat(heartbeat)).Suspicions, want)
+}
+
+func TestHeartbeatWithoutEvidenceNeedsNoBytesForIt(t *testing.T) {
+	is := is.New(t)
+	heartbeat := newHeartbeat(0)
+	size := proto.Size(encodeHeartbeat(heartbeat))
+	heartbeat.Suspicions = []heartbeater.Suspicion{}
+	is.Equal(proto.Size(encodeHeartbeat(heartbeat)), size)
+	is.True(decodeHeartbeat(encodeHeartbeat(heartbeat)).Suspicions == nil)
+	heartbeat.Suspicions = []heartbeater.Suspicion{{Service: "llm", Part: "5c1e07a2", Crashes: 5, Requests: 4, Age: time.Minute, Quarantined: true}}
+	t.Logf("a suspicion has %d bytes", proto.Size(encodeHeartbeat(heartbeat))-size)
+}
--- a/process/fleet/peers.go
+++ b/process/fleet/peers.go
@@ -72,6 +72,10 @@
 // at sentAt. The response was written later than that, so the ages in it are counted
 // from sentAt.
 func (f *Fleet) handleResponse(response heartbeater.Heartbeat, sentAt time.Time) {
+	response.Suspicions = slices.Clone(response.Suspicions)
+	for i := range response.Suspicions {
+		response.Suspicions[i].Age += f.Clock.Since(sentAt)
+	}
 	f.processHeartbeat(response)
 	f.Confirmer.RecordPeerReport(confirmer.PeerReport{
 		Incarnation:     response.Incarnation,
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/process/rebalancer"
 	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/process/sharer"
 	"sassafraspass.dev/sassafraspass/request/broker"
 	"sassafraspass.dev/sassafraspass/request/budgeter"
 	"sassafraspass.dev/sassafraspass/request/ejector"
@@ -80,6 +81,7 @@
 	placer       *placer.Placer
 	broker       *broker.Broker
 	rebalancer   *rebalancer.Rebalancer
+	sharer       *sharer.Sharer
 	reserver     *reserver.Reserver
 	retryBudget  *budgeter.Budgeter
 	exchanger    *exchanger.Exchanger
--- a/process/gateway/hubs.go
+++ b/process/gateway/hubs.go
@@ -118,9 +118,10 @@
 	return relay
 }
 
-// applyRelay applies the roster and the upstream changes that a hub relays in its
-// heartbeat.
+// applyRelay applies the evidence against prompt parts in a heartbeat, and the roster
+// and the upstream changes that a hub relays in it.
 func (g *Gateway) applyRelay(heartbeat heartbeater.Heartbeat) {
+	g.sharer.HandleReport(heartbeat.Suspicions)
 	if heartbeat.Relay == nil {
 		return
 	}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -52,8 +52,10 @@
 
 // extendHeartbeat adds this daemon's load on engines that the coordinator, which is
 // the daemon that places a service's requests now, cannot know of, because
-// another daemon placed those requests.
+// another daemon placed those requests. It also adds the evidence against prompt
+// parts that the receiver may lack.
 func (g *Gateway) extendHeartbeat(heartbeat *heartbeater.Heartbeat) {
+	heartbeat.Suspicions = g.sharer.Report()
 	for name, load := range g.broker.ExternalLoads() {
 		heartbeat.Loads = append(heartbeat.Loads, heartbeater.EngineLoad{Upstream: name, Running: load.Running, Tokens: load.Tokens})
 	}
@@ -115,14 +117,10 @@
 	return candidates
 }
 
-// placedServices returns the model services whose coordinator is this daemon, sorted
-// by name.
-func (g *Gateway) placedServices() (names []identifier.ServiceName) {
-	if !g.acceptsRequests() || !g.isHub() || !g.HearsMajority(majorityWindow) {
-		return nil
-	}
+// modelServices returns the services with engines, sorted by name.
+func (g *Gateway) modelServices() (names []identifier.ServiceName) {
 	for name, service := range g.Follower.Version().Services {
-		if service.Engine != nil && g.placementCandidates(name)[0].Address == "" {
+		if service.Engine != nil {
 			names = append(names, name)
 		}
 	}
@@ -130,6 +128,21 @@
 	return names
 }
 
+// isPlacing reports whether this daemon is a service's coordinator, or places its own
+// requests because no hub qualifies.
+func (g *Gateway) isPlacing(service identifier.ServiceName) bool {
+	return g.acceptsRequests() && g.placementCandidates(service)[0].Address == ""
+}
+
+// placedServices returns the model services whose coordinator is this daemon, sorted
+// by name.
+func (g *Gateway) placedServices() (names []identifier.ServiceName) {
+	if !g.isHub() || !g.HearsMajority(majorityWindow) {
+		return nil
+	}
+	return slices.DeleteFunc(g.modelServices(), func(name identifier.ServiceName) bool { return !g.isPlacing(name) })
+}
+
 func rendezvousHash(service identifier.ServiceName, vm identifier.VMName) uint64 {
 	return xxhash.Sum64String(string(service) + "/" + string(vm))
 }
--- a/process/gateway/wire.go
+++ b/process/gateway/wire.go
@@ -12,11 +12,13 @@
 	"sassafraspass.dev/sassafraspass/process/logger"
 	"sassafraspass.dev/sassafraspass/process/rebalancer"
 	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/process/sharer"
 	"sassafraspass.dev/sassafraspass/request/broker"
 	"sassafraspass.dev/sassafraspass/request/budgeter"
 	"sassafraspass.dev/sassafraspass/request/ejector"
 	"sassafraspass.dev/sassafraspass/request/placer"
 	"sassafraspass.dev/sassafraspass/request/proxier"
+	"sassafraspass.dev/sassafraspass/request/quarantiner"
 	"sassafraspass.dev/sassafraspass/request/reserver"
 	"sassafraspass.dev/sassafraspass/version/epochtracker"
 	"sassafraspass.dev/sassafraspass/version/parser"
@@ -45,6 +47,9 @@
 	burstFraction         = 0.5
 	initialTokensFraction = 0.2
 	deputyFraction        = 0.2
+	// maxEvidenceAge is how long after its newest crash the evidence against a prompt
+	// part is kept.
+	maxEvidenceAge = 10 * time.Minute
 	// isolatedFraction is the fraction of the tolerance up to which each daemon
 	// admits small requests while it reaches neither the home nor the deputy.
 	isolatedFraction = 0.02
@@ -89,6 +94,7 @@
 	g.wireReserver(deps)
 	g.wireBroker(deps)
 	g.wireRebalancer(deps)
+	g.wireSharer(deps)
 	g.proxier = &proxier.Proxier{
 		Version:       f.Follower.Version,
 		Router:        g.router.Load,
@@ -168,6 +174,17 @@
 	g.rebalancer.Meter = deps.Meter
 }
 
+func (g *Gateway) wireSharer(deps fleet.Dependencies) {
+	g.sharer = sharer.New()
+	g.sharer.Services = g.modelServices
+	g.sharer.IsPlacing = g.isPlacing
+	g.sharer.Suspicions = g.placer.Suspicions
+	g.sharer.Adopt = g.placer.AdoptSuspicions
+	g.sharer.MaxAge = maxEvidenceAge
+	g.sharer.Clock = deps.Clock
+	g.placer.OnQuarantine = func(identifier.ServiceName, quarantiner.Suspicion) { g.Heartbeater.SendAllNow() }
+}
+
 func (g *Gateway) wireRetries(deps fleet.Dependencies) {
 	g.retryBudget = budgeter.New(deps.Clock, retryBounds(*g.currentSettings().Gateway))
 	g.retryBudget.DaemonCount = func() int { return max(len(g.Peers.Live())+1, len(g.EpochTracker.Current().Members)) }
--- a/process/heartbeater/heartbeat.go
+++ b/process/heartbeater/heartbeat.go
@@ -20,7 +20,8 @@
 
 // Heartbeat is the status that a daemon sends to its peers. The gateway's
 // /v1/status endpoint encodes it as JSON without tags, as part of Peer, so the
-// names of its fields and of those of EngineLoad, Marks and Relay are public.
+// names of its fields and of those of Suspicion, EngineLoad, Marks and Relay are
+// public.
 type Heartbeat struct {
 	Incarnation identifier.Incarnation
 	VM          identifier.VMName
@@ -51,6 +52,9 @@
 	// hub forwards in its response, or nil.
 	Marks Marks
 	Relay *Relay
+	// Suspicions is the evidence against prompt parts of which the sender knows more
+	// than the receiver may.
+	Suspicions []Suspicion
 }
 
 // Marks are the sender's high-water marks. A hub responds with newer data only.
@@ -75,6 +79,19 @@
 	Upstreams *registrar.Update
 }
 
+// Suspicion is the evidence that a part of the prompts of a service's requests
+// crashes engines.
+type Suspicion struct {
+	Service identifier.ServiceName
+	Part    identifier.PromptPartID
+	// Crashes and Requests count the crashes and the different requests among them.
+	Crashes  int
+	Requests int
+	// Age is the time since the newest crash.
+	Age         time.Duration
+	Quarantined bool
+}
+
 // EngineLoad is the load that one daemon puts on one engine.
 type EngineLoad struct {
 	Upstream identifier.UpstreamName
--- /dev/null
+++ b/process/sharer/sharer.go
@@ -0,0 +1,191 @@
+// Package sharer shares the evidence against prompt parts between the daemons. The
+// daemon that places a service's requests collects the evidence, and the others keep
+// a copy, so that whichever of them places next knows it.
+package sharer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/request/quarantiner"
+)
+
+const (
+	// maxReported is the maximum number of suspicions in one heartbeat.
+	maxReported = 32
+	// minAgeDifference is the difference between the ages of two crashes from which on
+	// they are different crashes. It exceeds the time that heartbeats to a daemon and
+	// back take, by which a reported crash looks newer than it is.
+	minAgeDifference = 3 * time.Second
+)
+
+// Sharer exchanges the evidence with the other daemons. Set the exported fields
+// before use. It is safe for concurrent use.
+type Sharer struct {
+	// Services returns the services whose requests are placed.
+	Services func() []identifier.ServiceName
+	// IsPlacing reports whether this daemon places a service's requests.
+	IsPlacing func(service identifier.ServiceName) bool
+	// Suspicions returns this daemon's evidence, and Adopt adds to it.
+	Suspicions func(service identifier.ServiceName) []quarantiner.Suspicion
+	Adopt      func(service identifier.ServiceName, suspicions []quarantiner.Suspicion)
+
+	// MaxAge is the age of the newest crash at which evidence expires.
+	MaxAge time.Duration
+	Clock  clockwork.Clock
+
+	mu sync.Mutex
+	// received holds the newest evidence from other daemons.
+	received map[partKey]quarantiner.Suspicion
+}
+
+// partKey identifies a part of the prompts of a service's requests.
+type partKey struct {
+	service identifier.ServiceName
+	part    identifier.PromptPartID
+}
+
+// New returns a sharer. Its exported fields must be set before use.
+func New() *Sharer {
+	return &Sharer{received: make(map[partKey]quarantiner.Suspicion)}
+}
+
+// Report returns the evidence for a heartbeat: all of it for the services whose
+// requests this daemon places, and otherwise only what exceeds the other daemons'
+// reports, as it has when it placed requests for a while. If there is more than
+// maxReported, the quarantined parts go first, then those with the most and with the
+// newest crashes.
+func (s *Sharer) Report() (report []heartbeater.Suspicion) {
+	now := s.Clock.Now()
+	for _, service := range s.Services() {
+		suspicions := s.Suspicions(service)
+		if len(suspicions) == 0 {
+			continue
+		}
+		isPlacing := s.IsPlacing(service)
+		for _, suspicion := range suspicions {
+			if !isPlacing && !s.exceedsReceived(service, suspicion) {
+				continue
+			}
+			report = append(report, heartbeater.Suspicion{
+				Service:     service,
+				Part:        suspicion.Part,
+				Crashes:     suspicion.Crashes,
+				Requests:    suspicion.Requests,
+				Age:         max(0, now.Sub(suspicion.LastCrash)),
+				Quarantined: suspicion.Quarantined,
+			})
+		}
+	}
+	slices.SortFunc(report, compareReported)
+	return report[:min(len(report), maxReported)]
+}
+
+func compareReported(a, b heartbeater.Suspicion) int {
+	if a.Quarantined != b.Quarantined {
+		if a.Quarantined {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Age, b.Age), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Part, b.Part))
+}
+
+func (s *Sharer) exceedsReceived(service identifier.ServiceName, suspicion quarantiner.Suspicion) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	received, ok := s.received[partKey{service, suspicion.Part}]
+	return !ok || isNews(suspicion, received) || isStricter(suspicion, received)
+}
+
+// HandleReport adopts the evidence in another daemon's heartbeat.
+func (s *Sharer) HandleReport(report []heartbeater.Suspicion) {
+	if len(report) == 0 {
+		return
+	}
+	now := s.Clock.Now()
+	s.forgetExpired(now)
+	byService := make(map[identifier.ServiceName][]quarantiner.Suspicion)
+	for _, reported := range report {
+		if reported.Age > s.MaxAge {
+			continue
+		}
+		byService[reported.Service] = append(byService[reported.Service], quarantiner.Suspicion{
+			Part:        reported.Part,
+			Crashes:     reported.Crashes,
+			Requests:    reported.Requests,
+			LastCrash:   now.Add(-max(0, reported.Age)),
+			Quarantined: reported.Quarantined,
+		})
+	}
+	for service, suspicions := range byService {
+		s.adopt(service, suspicions)
+	}
+}
+
+// adopt adopts evidence from elsewhere as far as it is new.
+func (s *Sharer) adopt(service identifier.ServiceName, suspicions []quarantiner.Suspicion) {
+	suspicions = s.recordReceived(service, suspicions)
+	if len(suspicions) == 0 {
+		return
+	}
+	held := make(map[identifier.PromptPartID]quarantiner.Suspicion)
+	for _, suspicion := range s.Suspicions(service) {
+		held[suspicion.Part] = suspicion
+	}
+	isPlacing := s.IsPlacing(service)
+	var news []quarantiner.Suspicion
+	for _, suspicion := range suspicions {
+		own, isHeld := held[suspicion.Part]
+		if !isHeld || isNews(suspicion, own) || isStricter(suspicion, own) && !isPlacing {
+			news = append(news, suspicion)
+		}
+	}
+	if len(news) > 0 {
+		s.Adopt(service, news)
+	}
+}
+
+// isNews reports whether received evidence comprises crashes that the known evidence
+// lacks.
+func isNews(received, known quarantiner.Suspicion) bool {
+	return received.Crashes > known.Crashes || received.LastCrash.Sub(known.LastCrash) >= minAgeDifference
+}
+
+// isStricter reports whether a part is quarantined only by the received evidence. The
+// daemon that places the service's requests decides about that itself.
+func isStricter(received, known quarantiner.Suspicion) bool {
+	return received.Quarantined && !known.Quarantined
+}
+
+// recordReceived records evidence from elsewhere and returns what was not received
+// before. The rest may have been refuted meanwhile, so it must not be adopted again.
+func (s *Sharer) recordReceived(service identifier.ServiceName, suspicions []quarantiner.Suspicion) (news []quarantiner.Suspicion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, suspicion := range suspicions {
+		key := partKey{service, suspicion.Part}
+		old, isKnown := s.received[key]
+		if isKnown && !isNews(suspicion, old) && !isStricter(suspicion, old) {
+			continue
+		}
+		news = append(news, suspicion)
+		suspicion.Quarantined = suspicion.Quarantined || old.Quarantined
+		s.received[key] = suspicion
+	}
+	return news
+}
+
+// forgetExpired forgets received evidence that is older than MaxAge.
+func (s *Sharer) forgetExpired(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.received, func(_ partKey, suspicion quarantiner.Suspicion) bool { return now.Sub(suspicion.LastCrash) > s.MaxAge })
+}
--- /dev/null
+++ b/process/sharer/sharer_test.go
@@ -0,0 +1,228 @@
+package sharer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/request/quarantiner"
+)
+
+const testMaxAge = 10 * time.Minute
+
+// testDaemon is a daemon with a sharer. It collects evidence without deciding on it.
+type testDaemon struct {
+	*Sharer
+	clock     *clockwork.FakeClock
+	isPlacing bool
+	evidence  map[identifier.PromptPartID]quarantiner.Suspicion
+	// adoptions counts the suspicions that were adopted.
+	adoptions int
+}
+
+// newTestDaemon returns a daemon whose clock shows a time of its own.
+func newTestDaemon(clockOffset time.Duration) *testDaemon {
+	d := &testDaemon{
+		Sharer:   New(),
+		clock:    clockwork.NewFakeClockAt(time.Unix(1_700_000_000, 0).Add(clockOffset)),
+		evidence: make(map[identifier.PromptPartID]quarantiner.Suspicion),
+	}
+	d.Services = func() []identifier.ServiceName { return []identifier.ServiceName{"llm"} }
+	d.IsPlacing = func(identifier.ServiceName) bool { return d.isPlacing }
+	d.Suspicions = func(identifier.ServiceName) (suspicions []quarantiner.Suspicion) {
+		for _, suspicion := range d.evidence {
+			suspicions = append(suspicions, suspicion)
+		}
+		return suspicions
+	}
+	d.Adopt = func(_ identifier.ServiceName, suspicions []quarantiner.Suspicion) {
+		for _, suspicion := range suspicions {
+			d.adoptions++
+			d.evidence[suspicion.Part] = suspicion
+		}
+	}
+	d.MaxAge = testMaxAge
+	d.Clock = d.clock
+	return d
+}
+
+// crash records a crash for a request with a part.
+func (d *testDaemon) crash(part identifier.PromptPartID) {
+	suspicion := d.evidence[part]
+	d.evidence[part] = quarantiner.Suspicion{Part: part, Crashes: suspicion.Crashes + 1, Requests: suspicion.Requests + 1, LastCrash: d.clock.Now()}
+}
+
+func (d *testDaemon) quarantine(part identifier.PromptPartID) {
+	suspicion := d.evidence[part]
+	suspicion.Quarantined = true
+	d.evidence[part] = suspicion
+}
+
+// sendTo sends a heartbeat to another daemon and handles its response.
+func (d *testDaemon) sendTo(other *testDaemon) {
+	other.HandleReport(d.Report())
+	d.HandleReport(other.Report())
+}
+
+// TestWhicheverDaemonPlacesNextKnowsTheEvidence guards against engines that crash
+// again because the daemon that knew the part was killed.
+func TestWhicheverDaemonPlacesNextKnowsTheEvidence(t *testing.T) {
+	is := is.New(t)
+	first, second, joining := newTestDaemon(0), newTestDaemon(-time.Hour), newTestDaemon(time.Hour)
+	first.isPlacing = true
+	first.crash("bad")
+	first.crash("bad")
+	first.quarantine("bad")
+	first.crash("suspect")
+	second.sendTo(first)
+	want := first.evidence["bad"]
+	want.LastCrash = second.clock.Now()
+	is.Equal(second.evidence["bad"], want)
+	is.Equal(second.evidence["suspect"].Crashes, 1)
+
+	second.isPlacing = true // the first daemon is gone
+	joining.sendTo(second)
+	is.True(joining.evidence["bad"].Quarantined)
+	is.Equal(joining.evidence["suspect"].Crashes, 1)
+}
+
+// TestEvidenceOfFallbackReachesThePlacingDaemon guards against crashes that do not
+// count because another daemon placed the requests while the first one was silent, or
+// because the daemon that placed them is leaving.
+func TestEvidenceOfFallbackReachesThePlacingDaemon(t *testing.T) {
+	is := is.New(t)
+	placing, fallback := newTestDaemon(0), newTestDaemon(0)
+	placing.isPlacing = true
+	placing.crash("bad")
+	fallback.sendTo(placing)
+	fallback.crash("bad")
+	fallback.crash("other")
+	placing.sendTo(fallback)
+	is.Equal(placing.evidence["bad"].Crashes, 2)
+	is.Equal(placing.evidence["other"].Crashes, 1)
+	fallback.sendTo(placing)
+	is.Equal(len(fallback.Report()), 0) // the placing daemon reports it from now on
+	fallback.quarantine("bad")
+	is.Equal(len(fallback.Report()), 1)
+}
+
+func TestOtherDaemonsDoNotRepeatTheEvidence(t *testing.T) {
+	is := is.New(t)
+	placing, other := newTestDaemon(0), newTestDaemon(0)
+	placing.isPlacing = true
+	placing.crash("bad")
+	for range 3 {
+		other.sendTo(placing)
+		is.Equal(len(other.Report()), 0)
+		is.Equal(len(placing.Report()), 1)
+	}
+	is.Equal(other.adoptions, 1)
+	is.Equal(placing.adoptions, 0)
+}
+
+// TestOlderEvidenceDoesNotOverrideThePlacingDaemons guards against a daemon that was
+// frozen or cut off and still thinks that it places requests.
+func TestOlderEvidenceDoesNotOverrideThePlacingDaemons(t *testing.T) {
+	is := is.New(t)
+	placing, frozen, adopting := newTestDaemon(0), newTestDaemon(0), newTestDaemon(0)
+	placing.isPlacing, frozen.isPlacing, adopting.isPlacing = true, true, true
+	frozen.crash("a")
+	frozen.quarantine("a")
+	adopting.sendTo(frozen)
+	for _, d := range []*testDaemon{placing, frozen, adopting} {
+		d.clock.Advance(time.Minute)
+	}
+	for _, d := range []*testDaemon{placing, adopting} {
+		delete(d.evidence, "a")
+		d.crash("a") // no longer quarantined
+		d.crash("b")
+		want := d.evidence["a"]
+		for range 3 {
+			d.HandleReport(frozen.Report())
+			is.Equal(d.evidence["a"], want)
+			is.Equal(len(d.evidence), 2)
+		}
+	}
+	placing.crash("a")
+	frozen.HandleReport(placing.Report())
+	is.Equal(frozen.evidence["a"].Crashes, 2)
+	is.Equal(frozen.evidence["b"].Crashes, 1)
+}
+
+// TestRefutedEvidenceIsNotAdoptedAgain guards against a sound part that stays under
+// suspicion because other daemons repeat what the placing daemon has dropped.
+func TestRefutedEvidenceIsNotAdoptedAgain(t *testing.T) {
+	is := is.New(t)
+	placing, fallback := newTestDaemon(0), newTestDaemon(0)
+	placing.isPlacing = true
+	fallback.crash("sound")
+	placing.HandleReport(fallback.Report())
+	is.Equal(len(placing.evidence), 1)
+	delete(placing.evidence, "sound") // a request with the part began its output
+	placing.HandleReport(fallback.Report())
+	is.Equal(len(placing.evidence), 0)
+	fallback.clock.Advance(minAgeDifference)
+	placing.clock.Advance(minAgeDifference)
+	fallback.crash("sound")
+	placing.HandleReport(fallback.Report())
+	is.Equal(len(placing.evidence), 1)
+}
+
+// TestAgesOfRelayedCrashesAddUp guards against evidence that never expires because two
+// daemons that both place requests keep telling each other about it.
+func TestAgesOfRelayedCrashesAddUp(t *testing.T) {
+	is := is.New(t)
+	a, b := newTestDaemon(0), newTestDaemon(-time.Hour)
+	a.isPlacing, b.isPlacing = true, true
+	a.crash("bad")
+	crashedAt := a.clock.Now()
+	const delay = time.Second // of each heartbeat
+	for range 100 {
+		for _, pair := range [][2]*testDaemon{{a, b}, {b, a}} {
+			report := pair[0].Report()
+			a.clock.Advance(delay)
+			b.clock.Advance(delay)
+			pair[1].HandleReport(report)
+		}
+	}
+	is.Equal(a.evidence["bad"].LastCrash, crashedAt)
+	is.True(b.clock.Since(b.evidence["bad"].LastCrash) >= a.clock.Since(crashedAt)-delay)
+}
+
+func TestExpiredEvidenceIsIgnored(t *testing.T) {
+	is := is.New(t)
+	d := newTestDaemon(0)
+	d.HandleReport([]heartbeater.Suspicion{
+		{Service: "llm", Part: "old", Crashes: 5, Requests: 5, Age: testMaxAge + time.Second, Quarantined: true},
+		{Service: "llm", Part: "new", Crashes: 1, Requests: 1, Age: testMaxAge},
+		{Service: "llm", Part: "future", Crashes: 1, Requests: 1, Age: -time.Second},
+	})
+	is.Equal(len(d.evidence), 2)
+	is.Equal(d.evidence["future"].LastCrash, d.clock.Now())
+}
+
+// TestHeartbeatCarriesTheStrongestEvidence guards against heartbeats that grow without
+// limit when an engine crashes with many requests on board.
+func TestHeartbeatCarriesTheStrongestEvidence(t *testing.T) {
+	is := is.New(t)
+	d := newTestDaemon(0)
+	d.isPlacing = true
+	d.crash("old-and-quarantined")
+	d.quarantine("old-and-quarantined")
+	d.crash("twice")
+	for i := range 2 * maxReported {
+		d.clock.Advance(time.Second)
+		d.crash(identifier.PromptPartID(fmt.Sprintf("part-%03d", i)))
+	}
+	d.crash("twice")
+	report := d.Report()
+	is.Equal(len(report), maxReported)
+	is.Equal(report[0].Part, identifier.PromptPartID("old-and-quarantined"))
+	is.Equal(report[1].Part, identifier.PromptPartID("twice"))
+	is.Equal(report[2].Part, identifier.PromptPartID(fmt.Sprintf("part-%03d", 2*maxReported-1)))
+}
