Tell the other daemons that a prompt part was cleared

The detector clears a part whose request began its output, and lists it with no crashes. The other daemons did not take that for news, so the part stayed under suspicion there, and would be held back again where another daemon places next.

A cleared part is now news, for 30 s after its crash; later the next daemon finds out by itself. A crash that was received looks newer than it is by the time of the heartbeat, so a daemon that does not place the requests clears it as of the time that it knows. What is older than the evidence of the daemon that places is decided by one rule for quarantined and cleared parts alike.

TestClearedPartIsClearedEverywhere fails without each of the three: the clearing as news, the alignment of the times, the bound of 30 s.

--- a/process/heartbeater/heartbeat.go
+++ b/process/heartbeater/heartbeat.go
@@ -85,6 +85,7 @@
 	Service identifier.ServiceName
 	Part    identifier.PromptPartID
 	// Crashes and Requests count the crashes and the different requests among them.
+	// Both are zero for a part that was cleared since the newest crash.
 	Crashes  int
 	Requests int
 	// Age is the time since the newest crash.
--- a/process/sharer/sharer.go
+++ b/process/sharer/sharer.go
@@ -24,6 +24,9 @@
 	// they are different crashes. It exceeds the time that heartbeats to a daemon and
 	// back take, by which a reported crash looks newer than it is.
 	minAgeDifference = 3 * time.Second
+	// maxClearedAge is the age of the newest crash up to which other daemons are told
+	// that a part was cleared. After that, they find it out themselves.
+	maxClearedAge = 30 * time.Second
 )
 
 // Sharer exchanges the evidence with the other daemons. Set the exported fields
@@ -33,7 +36,8 @@
 	Services func() []identifier.ServiceName
 	// IsPlacing reports whether this daemon places a service's requests.
 	IsPlacing func(service identifier.ServiceName) bool
-	// Suspicions returns this daemon's evidence, and Adopt adds to it.
+	// Suspicions returns this daemon's evidence, the quarantined parts first. It may
+	// leave out some of the others if there are many. Adopt adds to the evidence.
 	Suspicions func(service identifier.ServiceName) []quarantiner.Suspicion
 	Adopt      func(service identifier.ServiceName, suspicions []quarantiner.Suspicion)
 
@@ -71,7 +75,9 @@
 		}
 		isPlacing := s.IsPlacing(service)
 		for _, suspicion := range suspicions {
-			if !isPlacing && !s.exceedsReceived(service, suspicion) {
+			age := max(0, now.Sub(suspicion.LastCrash))
+			isOutdated := age > s.MaxAge || isCleared(suspicion) && age > maxClearedAge
+			if isOutdated || !isPlacing && !s.exceedsReceived(service, suspicion) {
 				continue
 			}
 			report = append(report, heartbeater.Suspicion{
@@ -79,7 +85,7 @@
 				Part:        suspicion.Part,
 				Crashes:     suspicion.Crashes,
 				Requests:    suspicion.Requests,
-				Age:         max(0, now.Sub(suspicion.LastCrash)),
+				Age:         age,
 				Quarantined: suspicion.Quarantined,
 			})
 		}
@@ -102,7 +108,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	received, ok := s.received[partKey{service, suspicion.Part}]
-	return !ok || isNews(suspicion, received) || isStricter(suspicion, received)
+	return !ok || isNews(suspicion, received)
 }
 
 // HandleReport adopts the evidence in another daemon's heartbeat.
@@ -144,25 +150,34 @@
 	var news []quarantiner.Suspicion
 	for _, suspicion := range suspicions {
 		own, isHeld := held[suspicion.Part]
-		if !isHeld || isNews(suspicion, own) || isStricter(suspicion, own) && !isPlacing {
-			news = append(news, suspicion)
+		isOlder := isHeld && own.LastCrash.Sub(suspicion.LastCrash) >= minAgeDifference
+		switch {
+		case isHeld && !isNews(suspicion, own), isOlder && isPlacing && suspicion.Crashes <= own.Crashes:
+			continue
+		case isCleared(suspicion) && !isPlacing && !isOlder && own.LastCrash.After(suspicion.LastCrash):
+			// The crash that was cleared looks newer here only because of the time that
+			// the heartbeats took.
+			suspicion.LastCrash = own.LastCrash
 		}
+		news = append(news, suspicion)
 	}
 	if len(news) > 0 {
 		s.Adopt(service, news)
 	}
 }
 
-// isNews reports whether received evidence comprises crashes that the known evidence
-// lacks.
-func isNews(received, known quarantiner.Suspicion) bool {
-	return received.Crashes > known.Crashes || received.LastCrash.Sub(known.LastCrash) >= minAgeDifference
+// isCleared reports whether a part is no longer under suspicion.
+func isCleared(suspicion quarantiner.Suspicion) bool {
+	return suspicion.Crashes == 0 && !suspicion.Quarantined
 }
 
-// isStricter reports whether a part is quarantined only by the received evidence. The
-// daemon that places the service's requests decides about that itself.
-func isStricter(received, known quarantiner.Suspicion) bool {
-	return received.Quarantined && !known.Quarantined
+// isNews reports whether evidence says more than what is known: further crashes, or
+// another decision on the known ones.
+func isNews(suspicion, known quarantiner.Suspicion) bool {
+	newer := suspicion.LastCrash.Sub(known.LastCrash)
+	return suspicion.Crashes > known.Crashes || newer >= minAgeDifference ||
+		suspicion.Quarantined && !known.Quarantined ||
+		isCleared(suspicion) && !isCleared(known) && newer > -minAgeDifference
 }
 
 // recordReceived records evidence from elsewhere and returns what was not received
@@ -173,11 +188,11 @@
 	for _, suspicion := range suspicions {
 		key := partKey{service, suspicion.Part}
 		old, isKnown := s.received[key]
-		if isKnown && !isNews(suspicion, old) && !isStricter(suspicion, old) {
+		if isKnown && !isNews(suspicion, old) {
 			continue
 		}
 		news = append(news, suspicion)
-		suspicion.Quarantined = suspicion.Quarantined || old.Quarantined
+		suspicion.Quarantined = suspicion.Quarantined || old.Quarantined && !isCleared(suspicion)
 		s.received[key] = suspicion
 	}
 	return news
--- a/process/sharer/sharer_test.go
+++ b/process/sharer/sharer_test.go
@@ -173,6 +173,28 @@
 	is.Equal(len(placing.evidence), 1)
 }
 
+// TestClearedPartIsClearedEverywhere guards against a sound part that is held back again
+// when another daemon begins to place requests.
+func TestClearedPartIsClearedEverywhere(t *testing.T) {
+	is := is.New(t)
+	placing, other := newTestDaemon(0), newTestDaemon(0)
+	placing.isPlacing = true
+	placing.crash("sound")
+	report := placing.Report()
+	other.clock.Advance(time.Second) // the heartbeat takes this long
+	other.HandleReport(report)
+	crashedAt := other.evidence["sound"].LastCrash
+	placing.evidence["sound"] = quarantiner.Suspicion{Part: "sound", LastCrash: placing.evidence["sound"].LastCrash}
+	placing.clock.Advance(1100 * time.Millisecond)
+	other.clock.Advance(100 * time.Millisecond)
+	other.HandleReport(placing.Report())
+	is.Equal(other.evidence["sound"].Crashes, 0)
+	is.True(!other.evidence["sound"].LastCrash.Before(crashedAt)) // clears the crash as this daemon knows it
+	is.Equal(len(other.Report()), 0)
+	placing.clock.Advance(maxClearedAge)
+	is.Equal(len(placing.Report()), 0)
+}
+
 // TestAgesOfRelayedCrashesAddUp guards against evidence that never expires because two
 // daemons that both place requests keep telling each other about it.
 func TestAgesOfRelayedCrashesAddUp(t *testing.T) {
