Store the quarantined prompt parts

The evidence against a part lives in the daemons' memory. After all of them were killed at once, the fleet had to crash as many engines again to learn the same part.

Reads and writes happen in one background task.

--- a/process/gateway/drivers.go
+++ b/process/gateway/drivers.go
@@ -10,6 +10,7 @@
 	"sassafraspass.dev/sassafraspass/process/leaser"
 	"sassafraspass.dev/sassafraspass/process/rebalancer"
 	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/process/sharer"
 	"sassafraspass.dev/sassafraspass/request/proxier"
 	"sassafraspass.dev/sassafraspass/version/reducer"
 )
@@ -75,6 +76,12 @@
 	NewestClaim func(ctx context.Context, duty string) (leaser.NewestClaim, error)
 	AppendClaim func(ctx context.Context, duty string, data []byte, nextOffset identifier.Offset) (identifier.Offset, error)
 
+	// ReadQuarantines returns the records of the quarantined prompt parts.
+	// AppendQuarantine stores one, and DropQuarantine deletes that of a part.
+	ReadQuarantines  func(ctx context.Context) (sharer.RecordBatch, error)
+	AppendQuarantine func(ctx context.Context, record sharer.Record) error
+	DropQuarantine   func(ctx context.Context, service identifier.ServiceName, part identifier.PromptPartID) error
+
 	// RequestProtocol encodes requests to upstreams, and OrderProtocol the orders
 	// that change an engine's role.
 	RequestProtocol proxier.Protocol
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -243,6 +243,7 @@
 		g.placer.Run,
 		g.broker.Run,
 		g.rebalancer.Run,
+		g.sharer.Run,
 		g.pruneConnections,
 	)
 }
--- a/process/gateway/wire.go
+++ b/process/gateway/wire.go
@@ -18,7 +18,6 @@
 	"sassafraspass.dev/sassafraspass/request/ejector"
 	"sassafraspass.dev/sassafraspass/request/placer"
 	"sassafraspass.dev/sassafraspass/request/proxier"
-	"sassafraspass.dev/sassafraspass/request/quarantiner"
 	"sassafraspass.dev/sassafraspass/request/reserver"
 	"sassafraspass.dev/sassafraspass/version/epochtracker"
 	"sassafraspass.dev/sassafraspass/version/parser"
@@ -181,8 +180,14 @@
 	g.sharer.Suspicions = g.placer.Suspicions
 	g.sharer.Adopt = g.placer.AdoptSuspicions
 	g.sharer.MaxAge = maxEvidenceAge
+	g.sharer.ReadRecords = g.drivers.ReadQuarantines
+	g.sharer.AppendRecord = g.drivers.AppendQuarantine
+	g.sharer.DropRecord = g.drivers.DropQuarantine
+	g.sharer.Announce = g.Heartbeater.SendAllNow
 	g.sharer.Clock = deps.Clock
-	g.placer.OnQuarantine = func(identifier.ServiceName, quarantiner.Suspicion) { g.Heartbeater.SendAllNow() }
+	g.sharer.Log = logger.For(deps.Log, logger.Upstream)
+	g.sharer.Meter = deps.Meter
+	g.placer.OnQuarantine = g.sharer.HandleQuarantine
 }
 
 func (g *Gateway) wireRetries(deps fleet.Dependencies) {
--- a/process/sharer/sharer.go
+++ b/process/sharer/sharer.go
@@ -1,10 +1,13 @@
 // Package sharer shares the evidence against prompt parts between the daemons. The
 // daemon that places a service's requests collects the evidence, and the others keep
-// a copy, so that whichever of them places next knows it.
+// a copy, so that whichever of them places next knows it. A record of each quarantined
+// part is stored, so that it outlasts all daemons.
 package sharer
 
 import (
 	"cmp"
+	"context"
+	"log/slog"
 	"maps"
 	"slices"
 	"sync"
@@ -14,6 +17,7 @@
 
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/request/quarantiner"
 )
 
@@ -41,9 +45,22 @@
 	Suspicions func(service identifier.ServiceName) []quarantiner.Suspicion
 	Adopt      func(service identifier.ServiceName, suspicions []quarantiner.Suspicion)
 
+	// ReadRecords reads the stored records of quarantined parts. AppendRecord stores
+	// one, and DropRecord deletes that of a part.
+	ReadRecords  func(ctx context.Context) (RecordBatch, error)
+	AppendRecord func(ctx context.Context, record Record) error
+	DropRecord   func(ctx context.Context, service identifier.ServiceName, part identifier.PromptPartID) error
+	// Announce sends heartbeats at once. It must not block.
+	Announce func()
+
 	// MaxAge is the age of the newest crash at which evidence expires.
 	MaxAge time.Duration
 	Clock  clockwork.Clock
+	Log    *slog.Logger
+	Meter  *meter.Meter
+
+	// wake makes Run check the records at once.
+	wake chan struct{}
 
 	mu sync.Mutex
 	// received holds the newest evidence from other daemons.
@@ -58,7 +75,7 @@
 
 // New returns a sharer. Its exported fields must be set before use.
 func New() *Sharer {
-	return &Sharer{received: make(map[partKey]quarantiner.Suspicion)}
+	return &Sharer{received: make(map[partKey]quarantiner.Suspicion), wake: make(chan struct{}, 1)}
 }
 
 // Report returns the evidence for a heartbeat: all of it for the services whose
--- a/process/sharer/sharer_test.go
+++ b/process/sharer/sharer_test.go
@@ -10,6 +10,8 @@
 
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/heartbeater"
+	"sassafraspass.dev/sassafraspass/process/logger"
+	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/request/quarantiner"
 )
 
@@ -22,7 +24,8 @@
 	isPlacing bool
 	evidence  map[identifier.PromptPartID]quarantiner.Suspicion
 	// adoptions counts the suspicions that were adopted.
-	adoptions int
+	adoptions     int
+	announcements int
 }
 
 // newTestDaemon returns a daemon whose clock shows a time of its own.
@@ -48,6 +51,9 @@
 	}
 	d.MaxAge = testMaxAge
 	d.Clock = d.clock
+	d.Announce = func() { d.announcements++ }
+	d.Log = logger.Discard()
+	d.Meter = meter.NewNoop()
 	return d
 }
 
