--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -35,6 +35,7 @@
 	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/process/rebalancer"
 	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/process/sharer"
 	"sassafraspass.dev/sassafraspass/request/broker"
 	"sassafraspass.dev/sassafraspass/request/budgeter"
 	"sassafraspass.dev/sassafraspass/request/ejector"
@@ -81,6 +82,7 @@
 	placer       *placer.Placer
 	broker       *broker.Broker
 	rebalancer   *rebalancer.Rebalancer
+	sharer       *sharer.Sharer
 	reserver     *reserver.Reserver
 	retryBudget  *budgeter.Budgeter
 	exchanger    *exchanger.Exchanger
@@ -243,6 +245,7 @@
 		g.placer.Run,
 		g.broker.Run,
 		g.rebalancer.Run,
+		g.sharer.Run,
 		g.pruneConnections,
 	)
 }
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -65,6 +65,16 @@
 	// EventFailedRoleOrder those that failed or were not sent.
 	EventRoleOrder       Event = "orders"
 	EventFailedRoleOrder Event = "failed-orders"
+	// EventCutBeforeOutput and EventCutAfterOutput count streams that a decode engine
+	// broke off, before and after its first event.
+	EventCutBeforeOutput Event = "cuts-before-output"
+	EventCutAfterOutput  Event = "cuts-after-output"
+	// EventPartSuspected counts crashes held against a prompt part, EventQuarantine
+	// quarantines that began or were extended, and EventQuarantineReleased those that
+	// ended because a request with the part had output.
+	EventPartSuspected      Event = "parts-suspected"
+	EventQuarantine         Event = "quarantines"
+	EventQuarantineReleased Event = "quarantines-released"
 )
 
 const (
@@ -82,7 +92,8 @@
 	EventRequest, EventResponse, EventToken, EventMismatchedFrame, EventMalformedRecord,
 	EventRejectedRecord, EventWastedPrefill, EventPrefill,
 	EventOrphanCancelled, EventInvariantViolation, EventCutByKeyWithdrawal, EventResume,
-	EventRoleOrder, EventFailedRoleOrder,
+	EventRoleOrder, EventFailedRoleOrder, EventCutBeforeOutput, EventCutAfterOutput,
+	EventPartSuspected, EventQuarantine, EventQuarantineReleased,
 }
 
 // Timing names a histogram of durations.
--- a/request/broker/broker.go
+++ b/request/broker/broker.go
@@ -19,6 +19,7 @@
 	"sassafraspass.dev/sassafraspass/process/repeater"
 	"sassafraspass.dev/sassafraspass/refuser"
 	"sassafraspass.dev/sassafraspass/request/placer"
+	"sassafraspass.dev/sassafraspass/request/quarantiner"
 )
 
 const (
@@ -108,8 +109,8 @@
 var errSilent = errors.New("the daemon is silent")
 
 // Acquire requests a pair of engines from the candidates in order until one responds
-// with a grant or a refusal. If none responds, it refuses with NoUpstream, or with
-// CallerGone if the context has ended.
+// with a grant or a refusal. If none responds, it refuses with NoUpstream, with QueueFull
+// if no time is left to wait, or with CallerGone if the context has ended.
 func (b *Broker) Acquire(ctx context.Context, service identifier.ServiceName, req placer.Request) (placer.Grant, *refuser.Refusal) {
 	start := b.Clock.Now()
 	for _, candidate := range b.Candidates(service) {
@@ -120,6 +121,10 @@
 		remaining := req
 		remaining.TimeToDeadline -= waited
 		remaining.MaxWait -= waited
+		if remaining.MaxWait <= 0 {
+			// A call without time would fail and look like a daemon that does not respond.
+			return placer.Grant{}, refuser.New(http.StatusServiceUnavailable, refuser.QueueFull, "no time is left to wait for engines").WithRetryAfter(time.Second)
+		}
 		grant, refusal, err := b.placeAt(ctx, candidate, service, remaining)
 		if err == nil {
 			if refusal == nil {
@@ -228,12 +233,15 @@
 }
 
 // Run sends the queued reports in batches until the context ends, and returns the
-// context's error.
+// context's error. It also logs the decisions of this daemon's placer on prompt parts.
 func (b *Broker) Run(ctx context.Context) error {
 	for {
 		var first outgoingReport
 		select {
 		case first = <-b.outbox:
+		case decision := <-b.Placer.Decisions():
+			b.logDecision(decision)
+			continue
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -244,6 +252,31 @@
 	}
 }
 
+// logDecision logs a decision on a prompt part with the evidence that decided it.
+func (b *Broker) logDecision(d placer.QuarantineDecision) {
+	level := slog.LevelInfo
+	switch d.Change {
+	case quarantiner.ChangeQuarantined, quarantiner.ChangeExtended:
+		level = slog.LevelWarn
+		b.Meter.CountEvent(meter.EventQuarantine)
+	case quarantiner.ChangeReleased:
+		b.Meter.CountEvent(meter.EventQuarantineReleased)
+	case quarantiner.ChangeSuspected:
+		b.Meter.CountEvent(meter.EventPartSuspected)
+	}
+	attrs := []any{
+		"service", d.Service, "part", d.Suspicion.Part, "change", d.Change, "engine", d.Engine,
+		"crashes", d.Suspicion.Crashes, "requests", d.Suspicion.Requests, "rounds", d.Rounds,
+	}
+	if !d.LastStart.IsZero() {
+		attrs = append(attrs, "last-start-ms", b.Clock.Since(d.LastStart).Milliseconds())
+	}
+	if !d.Until.IsZero() {
+		attrs = append(attrs, "for-ms", b.Clock.Until(d.Until).Milliseconds())
+	}
+	b.Log.Log(context.Background(), level, "The evidence against a prompt part changed.", attrs...)
+}
+
 // collectBatches takes all reports from the outbox and groups them by address. It
 // sets the age of each report.
 func (b *Broker) collectBatches(first outgoingReport) map[identifier.Address][]messenger.PlacementReport {
--- a/request/proxier/proxier_test.go
+++ b/request/proxier/proxier_test.go
@@ -47,8 +47,12 @@
 	// respond.
 	rejecting  bool
 	abortAfter int
-	hang       bool
-	status     int
+	// abortBeforeEvents makes it abort after the header of a stream, and
+	// abortBeforeHeader after the request.
+	abortBeforeEvents bool
+	abortBeforeHeader bool
+	hang              bool
+	status            int
 }
 
 // ServeHTTP responds as the test configured it.
@@ -84,6 +88,13 @@
 		_, _ = io.WriteString(w, "plain")
 		return
 	}
+	if u.abortBeforeHeader {
+		panic(http.ErrAbortHandler)
+	}
+	if u.abortBeforeEvents {
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	u.stream(w, r, abortAfter)
 }
 
@@ -107,7 +118,9 @@
 	upstreams map[string]*fakeUpstream
 	reports   []placer.Report
 	grants    []placer.Grant
-	mu        sync.Mutex
+	// requests holds the requests for engine pairs.
+	requests []placer.Request
+	mu       sync.Mutex
 }
 
 func newFixture(t *testing.T, route parser.Route, names ...string) *fixture {
@@ -167,9 +180,10 @@
 }
 
 // place grants the test's engine pairs in order.
-func (f *fixture) place(context.Context, identifier.ServiceName, placer.Request) (placer.Grant, *refuser.Refusal) {
+func (f *fixture) place(_ context.Context, _ identifier.ServiceName, req placer.Request) (placer.Grant, *refuser.Refusal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.requests = append(f.requests, req)
 	if len(f.grants) == 0 {
 		return placer.Grant{}, refuser.New(http.StatusServiceUnavailable, refuser.QueueFull, "no pair is left").WithRetryAfter(time.Second)
 	}
@@ -227,6 +241,32 @@
 	is.True(slices.Contains(f.steps(), placer.StepDecodeFailed))
 }
 
+// The daemon that places requests blames a crash on requests without output, so a
+// stream that was cut later, or a rejected request, must not be reported like one.
+func TestOnlyAStreamCutBeforeItsFirstEventIsReportedAsSuch(t *testing.T) {
+	tests := []struct {
+		name  string
+		setUp func(u *fakeUpstream)
+		step  placer.Step
+	}{
+		{"cut before the first event", func(u *fakeUpstream) { u.abortBeforeEvents = true }, placer.StepCutBeforeOutput},
+		{"cut before the header", func(u *fakeUpstream) { u.abortBeforeHeader = true }, placer.StepCutBeforeOutput},
+		{"cut after an event", func(u *fakeUpstream) { u.abortAfter = 1 }, placer.StepDecodeFailed},
+		{"rejected", func(u *fakeUpstream) { u.rejecting = true }, placer.StepDecodeFailed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, parser.Route{Kind: parser.RouteStream, MaxAttempts: 1}, "pre", "dec-1")
+			f.grants = []placer.Grant{{Prefill: "pre", Decode: "dec-1"}}
+			test.setUp(f.upstreams["dec-1"])
+			_, _, _ = f.serve(context.Background(), 5*time.Second)
+			steps := f.steps()
+			is.Equal(steps[len(steps)-1], test.step)
+		})
+	}
+}
+
 func TestInterruptedStreamIsNotResumedIfNotAllowed(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -331,3 +371,33 @@
 	is.NoErr(err)
 	is.Equal(f.upstreams["a"].runs+f.upstreams["b"].runs+f.upstreams["c"].runs, 2)
 }
+
+// A request whose retry is refused used up retries that sound requests need.
+func TestARefusedPlacementTakesNoRetryFromTheBudget(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, parser.Route{Kind: parser.RouteStream, MaxAttempts: 2, AllowStreamFailover: true}, "pre", "dec-1")
+	f.RetryBudget.SetBounds(budgeter.Bounds{Ratio: 0, Extra: 3, Window: 10 * time.Second})
+	f.grants = []placer.Grant{{Prefill: "pre", Decode: "dec-1"}}
+	f.upstreams["dec-1"].abortBeforeEvents = true
+	_, _, err := f.serve(context.Background(), 5*time.Second)
+	is.True(errors.Is(err, ErrResponseTruncated))
+	is.True(f.takePlacementRetry(&requestState{service: parser.Service{Name: "s"}}))
+}
+
+// A stream that was cut after it had run for longer than a caller waits for the first
+// event had no time left to wait for other engines, and was given up.
+func TestAResumedStreamMayWaitForEnginesFromItsLatestEvent(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, parser.Route{Kind: parser.RouteStream, MaxAttempts: 2, AllowStreamFailover: true}, "pre", "dec-1", "dec-2")
+	f.grants = slices.Clone(twoGrants)
+	f.upstreams["dec-1"].abortAfter = 3
+	w := httptest.NewRecorder()
+	req := &Request{
+		ID: "id", Host: "h", Method: http.MethodPost, Target: "/p/x", Path: "/p/x", Header: http.Header{},
+		Body: []byte("body"), Arrived: f.Clock.Now().Add(-10 * time.Second), Timeout: 30 * time.Second, Tokens: &TokenCounts{PromptTokens: 10, MaxOutput: 10},
+	}
+	_, err := f.Serve(context.Background(), req, w)
+	is.NoErr(err)
+	is.Equal(len(f.requests), 2)
+	is.True(f.requests[1].MaxWait > time.Second)
+}
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -48,6 +48,9 @@
 // event.
 var errIncompleteStream = errors.New("the stream ended before its first event or inside an event")
 
+// errCallerWrite means that the caller's connection failed, not the engine.
+var errCallerWrite = errors.New("cannot write to the caller")
+
 // streamState is the state of a stream in progress, which may be served by several
 // engine pairs in turn.
 type streamState struct {
@@ -55,26 +58,33 @@
 	placementRequest placer.Request
 	// excluded lists engines that failed or rejected the request.
 	excluded []identifier.UpstreamName
+	// placements counts the engine pairs that were granted, and lastRefusal is the
+	// outcome of the latest one.
+	placements  int
+	lastRefusal *refuser.Refusal
 	// lastEventID is the id of the last event that the caller received.
 	lastEventID string
 	// eventCount is the number of complete events from all decode engines.
 	eventCount int
 	// decodeExecutions counts the decode engines that may have executed the request.
 	decodeExecutions int
+	// waitingSince is when the caller began to wait for the next event: the arrival, or
+	// the latest event.
+	waitingSince time.Time
+	// hasEngineOutput is set once the current decode engine has sent an event.
+	hasEngineOutput bool
 }
 
 // serveStream sends a request to an engine pair and relays the events to the caller.
 // If the pair fails and a retry is allowed, it tries another one.
 func (p *Proxier) serveStream(ctx context.Context, rs *requestState) (*refuser.Refusal, error) {
-	ss := &streamState{requestState: rs, lastEventID: rs.req.LastEventID}
+	ss := &streamState{requestState: rs, lastEventID: rs.req.LastEventID, waitingSince: rs.req.Arrived}
 	var refusal *refuser.Refusal
-	for try := range maxPlacements {
-		if try > 0 && !p.takePlacementRetry(rs) {
-			break
-		}
+	for range maxPlacements {
 		var retry bool
 		var err error
 		refusal, retry, err = p.tryPlacement(ctx, ss)
+		ss.lastRefusal = refusal
 		if refusal == nil && err == nil {
 			return nil, nil
 		}
@@ -121,9 +131,13 @@
 		return refusal, false, nil
 	}
 	p.Meter.ObserveDuration(meter.TimingEngineWait, grant.Waited)
-	p.Log.Log(ctx, logger.Success, "Placed.", "id", ss.req.ID, "prefill", grant.Prefill, "decode", grant.Decode, "waited-ms", grant.Waited.Milliseconds(), "fill", grant.PeakUtilization)
+	p.Log.Log(ctx, logger.Success, "Placed.", "id", ss.req.ID, "placement", ss.placementRequest.Key.Number, "prefill", grant.Prefill, "decode", grant.Decode, "waited-ms", grant.Waited.Milliseconds(), "fill", grant.PeakUtilization)
 	report := placer.Report{Key: ss.placementRequest.Key, Step: placer.StepEnded}
 	defer func() { p.Placements.Report(ss.service.Name, report) }()
+	if ss.placements > 0 && !p.takePlacementRetry(ss.requestState) {
+		return ss.lastRefusal, false, nil
+	}
+	ss.placements++
 	prefill, decode, ok := p.findEngines(ss, grant)
 	if !ok {
 		return p.noResponseRefusal(ctx, ss.requestState, refuser.NoUpstream, "the engine has left"), true, nil
@@ -152,8 +166,9 @@
 		Key:            p.Placements.NextKey(),
 		Priority:       priority,
 		TimeToDeadline: ss.route.LatencyObjective - waited,
-		MaxWait:        min(maxEngineWait(ss)-waited, ss.deadline.Sub(now)),
+		MaxWait:        min(maxEngineWait(ss)-now.Sub(ss.waitingSince), ss.deadline.Sub(now)),
 		Avoid:          ss.excluded,
+		PromptParts:    ss.req.PromptParts,
 	}
 	if ss.req.Tokens != nil {
 		placementRequest.PromptTokens = ss.req.Tokens.PromptTokens
@@ -163,8 +178,8 @@
 	return placementRequest
 }
 
-// maxEngineWait returns how long after its arrival a stream may wait for engines, so
-// that its first event reaches the caller before the caller gives up.
+// maxEngineWait returns how long a stream may wait for engines after its arrival or its
+// latest event, so that the next event reaches the caller before the caller gives up.
 func maxEngineWait(ss *streamState) time.Duration {
 	longest := max(minEventWait, objectiveWaitFactor*ss.route.LatencyObjective, gapWaitFactor*ss.route.MaxEventGap)
 	return longest - eventWaitMargin - minPrefillTime
@@ -214,19 +229,21 @@
 func (p *Proxier) decode(ctx context.Context, ss *streamState, engine registrar.Entry, handle KVHandle, report *placer.Report) (refusal *refuser.Refusal, retry bool, err error) {
 	ss.hops++
 	ss.upstream = engine.Name
+	ss.hasEngineOutput = false
 	hop := Hop{Upstream: engine, Stage: StageDecode, Handle: handle, LastEventID: ss.lastEventID}
 	hopCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	response, err := p.Exchanger.Exchange(hopCtx, engine.Address, p.newUpstreamRequest(ss.requestState, hop))
 	if err != nil {
+		p.Log.Info("A decode engine did not respond.", "id", ss.req.ID, "upstream", engine.Name, "sent", exchanger.MaybeSent(err), "parts", ss.req.PromptParts, "err", err)
+		p.recordDecodeFailure(ctx, ss, engine, report)
 		if !exchanger.MaybeSent(err) {
 			go p.freeKVHandle(handle)
 		} else {
 			ss.mayHaveRun = true
 			ss.decodeExecutions++
+			p.recordCut(ctx, ss, report)
 		}
-		p.Log.Info("A decode engine did not respond.", "id", ss.req.ID, "upstream", engine.Name, "err", err)
-		p.recordDecodeFailure(ctx, ss, engine, report)
 		retry = !exchanger.MaybeSent(err) || p.mayResume(ss)
 		return p.noResponseRefusal(ctx, ss.requestState, refuser.UpstreamFailed, "the decode engine did not answer"), retry, nil
 	}
@@ -243,8 +260,11 @@
 	if err == nil {
 		return nil, false, nil
 	}
-	p.Log.Info("A stream was cut.", "id", ss.req.ID, "upstream", engine.Name, "events", ss.eventCount, "err", err)
+	p.Log.Info("A stream was cut.", "id", ss.req.ID, "upstream", engine.Name, "events", ss.eventCount, "engine-output", ss.hasEngineOutput, "workspace", ss.workspace.Name, "parts", ss.req.PromptParts, "err", err)
 	p.recordDecodeFailure(ctx, ss, engine, report)
+	if !errors.Is(err, errCallerWrite) {
+		p.recordCut(ctx, ss, report)
+	}
 	return p.noResponseRefusal(ctx, ss.requestState, refuser.StreamTruncated, "the stream was cut"), p.mayResume(ss), fmt.Errorf("%w: %w", ErrResponseTruncated, err)
 }
 
@@ -264,6 +284,19 @@
 	p.Meter.CountRetry(meter.RetryDecode)
 }
 
+// recordCut counts a decode engine that broke off, and reports whether it did so before
+// its first event. It does nothing if the request itself has ended.
+func (p *Proxier) recordCut(ctx context.Context, ss *streamState, report *placer.Report) {
+	switch {
+	case ctx.Err() != nil:
+	case ss.hasEngineOutput:
+		p.Meter.CountEvent(meter.EventCutAfterOutput)
+	default:
+		p.Meter.CountEvent(meter.EventCutBeforeOutput)
+		report.Step = placer.StepCutBeforeOutput
+	}
+}
+
 // handleRejection handles a decode engine's response that states that the request was
 // not executed. Another pair may be tried.
 func (p *Proxier) handleRejection(ctx context.Context, ss *streamState, engine registrar.Entry, handle KVHandle, response *exchanger.Response, report *placer.Report) (*refuser.Refusal, bool, error) {
@@ -310,7 +343,7 @@
 		ss.w.writeHeader(response.StatusCode, response.Header, -1)
 		err := ss.w.flush()
 		if err != nil {
-			return err
+			return fmt.Errorf("%w: %w", errCallerWrite, err)
 		}
 	}
 	var firstEventAt time.Time
@@ -327,12 +360,13 @@
 				firstEventAt = p.recordStreamStart(ss)
 			}
 			engineEvents += ss.recordEvents(events)
+			ss.waitingSince = p.Clock.Now()
 			err := ss.w.write(events)
 			if err == nil {
 				err = ss.w.flush()
 			}
 			if err != nil {
-				return err
+				return fmt.Errorf("%w: %w", errCallerWrite, err)
 			}
 			pending = append(pending[:0], pending[boundary+2:]...)
 		}
@@ -360,6 +394,7 @@
 // time.
 func (p *Proxier) recordStreamStart(ss *streamState) time.Time {
 	now := p.Clock.Now()
+	ss.hasEngineOutput = true
 	if ss.eventCount == 0 {
 		p.Meter.ObserveDuration(meter.TimingFirstEvent, now.Sub(ss.req.Arrived))
 	}
