Serve requests that are read while the server for callers stops

Change: the drainer owns the callers' connections and replaces Shutdown. It stops accepting, expires the read deadline of connections while no byte of a request was read, serves what is read, and waits until no connection is left. It no longer waits for connections that were never used. The announcement of a shutdown is at most 2.5 s, whatever the grace period is, and its phases count from its beginning.

--- /dev/null
+++ b/connection/drainer/conn.go
@@ -0,0 +1,168 @@
+package drainer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// listener hands out connections that its drainer knows.
+type listener struct {
+	net.Listener
+	drainer *Drainer
+	// stopped is set by stopAccepting, and closed is closed by Close.
+	stopped   atomic.Bool
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+// Listen returns a listener for a server that the drainer is attached to.
+func (d *Drainer) Listen(l net.Listener) net.Listener {
+	wrapped := &listener{Listener: l, drainer: d, closed: make(chan struct{})}
+	d.listener.Store(wrapped)
+	return wrapped
+}
+
+// stopAccepting closes the underlying listener. Accept then blocks until Close, as the
+// server would end if it returned an error.
+func (l *listener) stopAccepting() {
+	l.stopped.Store(true)
+	_ = l.Listener.Close()
+}
+
+// Accept returns the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		if l.stopped.Load() {
+			<-l.closed
+		}
+		return nil, err
+	}
+	return l.drainer.addConn(accepted), nil
+}
+
+// Close closes the listener.
+func (l *listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// conn is a connection of a caller.
+type conn struct {
+	net.Conn
+	drainer *Drainer
+	// requests counts the requests.
+	requests atomic.Int64
+
+	// The fields below are protected by drainer.mu.
+
+	state http.ConnState
+	// isWaiting is set while no byte of the next request was read.
+	isWaiting bool
+	// isExpired is set if the read deadline is in the past, so that the server closes
+	// the connection unless a byte arrives first. A Close instead would abort a request
+	// that was read and is not served yet.
+	isExpired bool
+}
+
+// trackedConn is a conn, or embeds one.
+type trackedConn interface {
+	tracked() *conn
+}
+
+func (c *conn) tracked() *conn { return c }
+
+// expired is a read deadline in the past.
+var expired = time.Unix(1, 0)
+
+func (d *Drainer) addConn(accepted net.Conn) *conn {
+	c := &conn{Conn: accepted, drainer: d, isWaiting: true}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.conns[c] = struct{}{}
+	return c
+}
+
+// expire makes the server close the connection if it waits for a request. The drainer's
+// lock must be held.
+func (c *conn) expire() {
+	if c.isWaiting {
+		c.isExpired = true
+		_ = c.Conn.SetReadDeadline(expired)
+	}
+}
+
+// Read reads from the connection. Once a byte of a request was read, the connection is
+// not expired any more.
+func (c *conn) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	c.drainer.mu.Lock()
+	defer c.drainer.mu.Unlock()
+	c.isWaiting = false
+	if c.isExpired {
+		c.isExpired = false
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// SetReadDeadline sets the read deadline, unless the connection is expired: the server
+// sets the deadline of an idle connection anew.
+func (c *conn) SetReadDeadline(at time.Time) error {
+	c.drainer.mu.Lock()
+	defer c.drainer.mu.Unlock()
+	if c.isExpired {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// trackState is called by the server when the state of a connection changes.
+func (d *Drainer) trackState(nc net.Conn, state http.ConnState) {
+	wrapped, ok := nc.(trackedConn)
+	if !ok {
+		return
+	}
+	c := wrapped.tracked()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.state = state
+	switch state {
+	case http.StateIdle:
+		c.isWaiting = true
+		if d.closesWaiting {
+			c.expire()
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(d.conns, c)
+	case http.StateNew, http.StateActive:
+	}
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+func contextWithConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+func countRequest(ctx context.Context) {
+	c, ok := ctx.Value(connKey{}).(trackedConn)
+	if ok {
+		c.tracked().requests.Add(1)
+	}
+}
+
+// IsReused reports whether the connection of a request carried earlier requests. The
+// context is that of the request.
+func IsReused(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(trackedConn)
+	return ok && c.tracked().requests.Load() > 1
+}
--- a/connection/drainer/drainer.go
+++ b/connection/drainer/drainer.go
@@ -1,11 +1,10 @@
-// Package drainer keeps track of a graceful shutdown for the server that callers
-// connect to: when it began, when it must be complete, and which connections are
-// reused for a further request.
+// Package drainer shuts down the server that callers connect to without dropping a
+// request that was read: it owns the server's connections, knows which of them wait for
+// a request, and says which requests may still be accepted.
 package drainer
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,42 +13,50 @@
 	"github.com/jonboulle/clockwork"
 )
 
-// endMargin is the time before the end of the shutdown by which a request must end, so
-// that its response reaches the caller.
-const endMargin = 100 * time.Millisecond
+const (
+	// endMargin is the time before the end of the shutdown by which a request must end,
+	// so that its response reaches the caller.
+	endMargin = 200 * time.Millisecond
+	// pollInterval is how often Drain checks whether connections are left.
+	pollInterval = 20 * time.Millisecond
+)
 
 // Shutdown describes a graceful shutdown in progress.
 type Shutdown struct {
 	Began time.Time
-	// KnownBy is when callers have stopped using addresses that they cached before.
+	// KnownBy is the time from which only requests are accepted that end in time.
 	KnownBy time.Time
-	// Deadline is when requests that still run are cut.
+	// Deadline is when the connections that are left are closed.
 	Deadline time.Time
 }
 
+// RequestDeadline is the time by which requests must end.
+func (s Shutdown) RequestDeadline() time.Time {
+	return s.Deadline.Add(-endMargin)
+}
+
 // Accepts reports whether a request with the given deadline may be accepted now. Once
 // callers know of the shutdown, only requests are accepted that end before it does,
 // as others may be cut.
 func (s Shutdown) Accepts(now, requestDeadline time.Time) bool {
-	return now.Before(s.KnownBy) || !requestDeadline.After(s.Deadline.Add(-endMargin))
+	return now.Before(s.KnownBy) || !requestDeadline.After(s.RequestDeadline())
 }
 
-// Drainer records the beginning of a graceful shutdown and wraps the handler of
-// requests. It is safe for concurrent use.
+// Drainer shuts down one HTTP server. It is safe for concurrent use.
 type Drainer struct {
 	clock    clockwork.Clock
 	shutdown atomic.Pointer[Shutdown]
+	listener atomic.Pointer[listener]
 
-	mu sync.Mutex
-	// idle holds the connections that wait for a further request.
-	idle map[net.Conn]struct{}
-	// closesIdle is set after CloseIdle.
-	closesIdle bool
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	// closesWaiting is set if connections that wait for a request are closed.
+	closesWaiting bool
 }
 
 // New returns a drainer for a server that is not shutting down.
 func New(clock clockwork.Clock) *Drainer {
-	return &Drainer{clock: clock, idle: make(map[net.Conn]struct{})}
+	return &Drainer{clock: clock, conns: make(map[*conn]struct{})}
 }
 
 // Begin starts the shutdown. Callers know of it after the time announcement, and
@@ -61,33 +68,6 @@
 	return shutdown
 }
 
-// CloseIdle makes the server close its idle connections, now and when further ones
-// become idle. An expired read deadline closes a connection only if no request has been
-// read, while Close would also abort a request that the server is about to serve.
-func (d *Drainer) CloseIdle() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.closesIdle = true
-	for c := range d.idle {
-		_ = c.SetReadDeadline(time.Unix(1, 0))
-	}
-}
-
-// trackIdle is called by the server when the state of a connection changes.
-func (d *Drainer) trackIdle(c net.Conn, state http.ConnState) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if state != http.StateIdle {
-		delete(d.idle, c)
-		return
-	}
-	if d.closesIdle {
-		_ = c.Close()
-		return
-	}
-	d.idle[c] = struct{}{}
-}
-
 // Shutdown returns the shutdown in progress, and false if there is none.
 func (d *Drainer) Shutdown() (Shutdown, bool) {
 	shutdown := d.shutdown.Load()
@@ -97,14 +77,13 @@
 	return *shutdown, true
 }
 
-// Attach makes the server count the requests of each connection and, during a shutdown,
-// announce in each response that its connection closes.
+// Attach makes the drainer follow the state of the server's connections, which must
+// come from a listener of Listen. During a shutdown, responses announce that their
+// connection closes.
 func (d *Drainer) Attach(server *http.Server) {
 	next := server.Handler
-	server.ConnState = d.trackIdle
-	server.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
-		return context.WithValue(ctx, requestCountKey{}, &atomic.Int64{})
-	}
+	server.ConnContext = contextWithConn
+	server.ConnState = d.trackState
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		countRequest(r.Context())
 		_, draining := d.Shutdown()
@@ -115,19 +94,50 @@
 	})
 }
 
-// requestCountKey is the context key of a connection's request count.
-type requestCountKey struct{}
+// CloseIdle closes the connections that carried a request and wait for a further one,
+// now and when they become idle.
+func (d *Drainer) CloseIdle() {
+	d.closeWaiting(func(c *conn) bool { return c.state == http.StateIdle })
+}
+
+func (d *Drainer) closeWaiting(matches func(c *conn) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closesWaiting = true
+	for c := range d.conns {
+		if matches(c) {
+			c.expire()
+		}
+	}
+}
 
-func countRequest(ctx context.Context) {
-	count, ok := ctx.Value(requestCountKey{}).(*atomic.Int64)
-	if ok {
-		count.Add(1)
+// Drain closes the listener and all connections that wait for a request, and returns
+// when no connection is left. Unlike http.Server.Shutdown, it serves the requests that
+// are read meanwhile. It returns the context's error if connections are left when that
+// ends, and context.DeadlineExceeded if they are at the deadline. Begin must have been
+// called.
+func (d *Drainer) Drain(ctx context.Context) error {
+	l := d.listener.Load()
+	if l != nil {
+		l.stopAccepting()
 	}
+	d.closeWaiting(func(*conn) bool { return true })
+	shutdown, _ := d.Shutdown()
+	for d.connCount() > 0 {
+		if !d.clock.Now().Before(shutdown.Deadline) {
+			return context.DeadlineExceeded
+		}
+		select {
+		case <-d.clock.After(pollInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
 }
 
-// IsReused reports whether the connection of a request carried earlier requests. The
-// context is that of the request.
-func IsReused(ctx context.Context) bool {
-	count, ok := ctx.Value(requestCountKey{}).(*atomic.Int64)
-	return ok && count.Load() > 1
+func (d *Drainer) connCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.conns)
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -219,7 +219,7 @@
 		taskCtx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return task(taskCtx) }, func(error) { cancel() })
 	}
-	opener.Serve(&group, g.callerServer, g.listeners.callers)
+	opener.Serve(&group, g.callerServer, g.drainer.Listen(g.listeners.callers))
 	opener.Serve(&group, newServer(g.peerHandler()), g.listeners.peers)
 	opener.Serve(&group, newServer(g.operatorHandler()), g.listeners.operators)
 	opener.Serve(&group, newServer(g.drivers.ReadinessHandler(g.acceptsRequests)), g.listeners.readiness)
--- a/process/gateway/stop.go
+++ b/process/gateway/stop.go
@@ -11,12 +11,13 @@
 	// lingerFraction is the fraction of the grace period during which the daemon
 	// still serves callers that have its address from before.
 	lingerFraction = 0.55
-	// acceptFraction is the largest fraction of the grace period during which the
-	// daemon accepts requests that may outlast it. It does so for no longer than callers
-	// cache its address, and announceDelay, which the other daemons need to learn of the
-	// shutdown.
-	acceptFraction = 0.3
-	announceDelay  = 500 * time.Millisecond
+	// The daemon accepts requests that may outlast its shutdown for no longer than
+	// callers cache its address, and announceDelay, which the other daemons need to learn
+	// of the shutdown. acceptFraction is the largest fraction of the grace period, and
+	// maxAnnouncement the longest time, for which it does so.
+	announceDelay   = 500 * time.Millisecond
+	acceptFraction  = 0.3
+	maxAnnouncement = 2500 * time.Millisecond
 	// drainFraction is the fraction of the grace period after which the daemon no
 	// longer waits for running requests.
 	drainFraction = 0.92
@@ -39,21 +40,28 @@
 // closes idle connections and refuses requests that may outlast it. It then gives up
 // the daemon's shares of the limits and waits for running requests.
 func (g *Gateway) shutDownGracefully(ctx context.Context) {
-	grace := g.currentSettings().Gateway.GracePeriod
-	announcement := min(g.currentSettings().EntryMaxAge+announceDelay, time.Duration(acceptFraction*float64(grace)))
-	shutdown := g.drainer.Begin(announcement, time.Duration(drainFraction*float64(grace)))
+	settings := g.currentSettings()
+	grace := settings.Gateway.GracePeriod
+	announcement := min(settings.EntryMaxAge+announceDelay, fractionOf(grace, acceptFraction), maxAnnouncement)
+	shutdown := g.drainer.Begin(announcement, fractionOf(grace, drainFraction))
 	g.Log.Info("Leaving.", "grace", grace)
 	g.Leaving.Store(true)
 	g.Heartbeater.SendAllNow()
-	repeater.Sleep(ctx, g.Clock, announcement)
+	g.sleepUntil(ctx, shutdown.KnownBy)
 	g.drainer.CloseIdle()
-	repeater.Sleep(ctx, g.Clock, time.Duration(lingerFraction*float64(grace))-announcement)
+	g.sleepUntil(ctx, shutdown.Began.Add(fractionOf(grace, lingerFraction)))
 	g.Limiter.Drain()
 	g.Heartbeater.SendAllNow()
-	shutdownCtx, cancel := context.WithTimeout(ctx, shutdown.Deadline.Sub(g.Clock.Now()))
-	defer cancel()
-	err := g.callerServer.Shutdown(shutdownCtx)
+	err := g.drainer.Drain(ctx)
 	if err != nil {
 		g.Log.Warn("Requests were still running at the drain deadline.", "err", err)
 	}
 }
+
+func (g *Gateway) sleepUntil(ctx context.Context, at time.Time) {
+	repeater.Sleep(ctx, g.Clock, at.Sub(g.Clock.Now()))
+}
+
+func fractionOf(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(fraction * float64(d))
+}
