Answer requests that are not finished when the shutdown ends

Cause: at the end of the shutdown the server is closed, which ends the contexts of all requests as if their callers had left; such a request is ended without a response.

One that was sent nowhere is refused with 503, not run, shutting-down; one that may have run and has no response yet gets 504; a stream that has begun is cut as before.

TestRequestThatWaitsForEnginesWhenTheShutdownEndsIsRefused failed with EOF before the change and passes.

--- a/connection/drainer/drainer.go
+++ b/connection/drainer/drainer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,9 @@
 	pollInterval = 20 * time.Millisecond
 )
 
+// ErrEnding is the cause of a request's context that ends because the shutdown does.
+var ErrEnding = errors.New("the daemon's shutdown ends")
+
 // Shutdown describes a graceful shutdown in progress.
 type Shutdown struct {
 	Began time.Time
@@ -46,7 +50,10 @@
 type Drainer struct {
 	clock    clockwork.Clock
 	shutdown atomic.Pointer[Shutdown]
-	listener atomic.Pointer[listener]
+	// ending ends when the requests must.
+	ending    context.Context
+	endSignal context.CancelFunc
+	listener  atomic.Pointer[listener]
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -56,7 +63,9 @@
 
 // New returns a drainer for a server that is not shutting down.
 func New(clock clockwork.Clock) *Drainer {
-	return &Drainer{clock: clock, conns: make(map[*conn]struct{})}
+	d := &Drainer{clock: clock, conns: make(map[*conn]struct{})}
+	d.ending, d.endSignal = context.WithCancel(context.Background())
+	return d
 }
 
 // Begin starts the shutdown. Callers know of it after the time announcement, and
@@ -77,6 +86,17 @@
 	return *shutdown, true
 }
 
+// WithEnd returns a context for serving a request. It ends with the cause ErrEnding
+// while there is time to respond before the shutdown ends. The caller must call cancel.
+func (d *Drainer) WithEnd(ctx context.Context) (servingCtx context.Context, cancel func()) {
+	servingCtx, cancelCause := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(d.ending, func() { cancelCause(ErrEnding) })
+	return servingCtx, func() {
+		stop()
+		cancelCause(nil)
+	}
+}
+
 // Attach makes the drainer follow the state of the server's connections, which must
 // come from a listener of Listen. During a shutdown, responses announce that their
 // connection closes.
@@ -113,9 +133,9 @@
 
 // Drain closes the listener and all connections that wait for a request, and returns
 // when no connection is left. Unlike http.Server.Shutdown, it serves the requests that
-// are read meanwhile. It returns the context's error if connections are left when that
-// ends, and context.DeadlineExceeded if they are at the deadline. Begin must have been
-// called.
+// are read meanwhile. Shortly before the shutdown's deadline it ends the requests that
+// still run. It returns the context's error if connections are left when that ends, and
+// context.DeadlineExceeded if they are at the deadline. Begin must have been called.
 func (d *Drainer) Drain(ctx context.Context) error {
 	l := d.listener.Load()
 	if l != nil {
@@ -124,7 +144,11 @@
 	d.closeWaiting(func(*conn) bool { return true })
 	shutdown, _ := d.Shutdown()
 	for d.connCount() > 0 {
-		if !d.clock.Now().Before(shutdown.Deadline) {
+		now := d.clock.Now()
+		if !now.Before(shutdown.RequestDeadline()) {
+			d.endSignal()
+		}
+		if !now.Before(shutdown.Deadline) {
 			return context.DeadlineExceeded
 		}
 		select {
--- a/request/proxier/proxier.go
+++ b/request/proxier/proxier.go
@@ -211,6 +211,8 @@
 	}
 	deadlineCtx, cancel := context.WithDeadline(ctx, rs.deadline)
 	defer cancel()
+	deadlineCtx, stop := p.Drainer.WithEnd(deadlineCtx)
+	defer stop()
 	p.RetryBudget.CountRequest(rs.service.Name)
 	if rs.route.Kind == parser.RouteStream && rs.service.Engine != nil {
 		refusal, err = p.serveStream(deadlineCtx, rs)
@@ -306,8 +308,11 @@
 // The refusal states that the request was not executed only if that is certain. The
 // code and the reason are used unless the context has ended.
 func (p *Proxier) noResponseRefusal(ctx context.Context, rs *requestState, code refuser.Code, reason string) *refuser.Refusal {
-	timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	isEnding := errors.Is(context.Cause(ctx), drainer.ErrEnding)
+	timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded) || isEnding
 	switch {
+	case isEnding && !rs.mayHaveRun:
+		return refuser.New(http.StatusServiceUnavailable, refuser.ShuttingDown, "this VM shuts down").WithRetryAfter(elsewhereRetryAfter)
 	case ctx.Err() != nil && !timedOut:
 		return refuser.NewIndeterminate(http.StatusBadGateway, refuser.CallerGone, "the caller disconnected")
 	case !rs.mayHaveRun && timedOut:
