Let every hub report the evidence against prompt parts

Cause: only the daemon that places a service's requests reported its evidence, and for 2.5 s the hubs still counted the killed one as live, so none of them reported. The store did not help, as it was away from 6 to 10 s and the part had been learned meanwhile.

Every hub now reports the parts under suspicion; what was cleared is left to the daemon that places requests. What a daemon holds already is no news to it, so nothing is adopted twice (TestHubTellsOfEvidenceThatThePlacingDaemonCannot, which failed before with nothing reported).

--- a/process/gateway/wire.go
+++ b/process/gateway/wire.go
@@ -176,6 +176,7 @@
 func (g *Gateway) wireSharer(deps fleet.Dependencies) {
 	g.sharer = sharer.New()
 	g.sharer.Services = g.modelServices
+	g.sharer.IsHub = g.isHub
 	g.sharer.IsPlacing = g.isPlacing
 	g.sharer.Suspicions = g.placer.Suspicions
 	g.sharer.Adopt = g.placer.AdoptSuspicions
--- a/process/sharer/sharer.go
+++ b/process/sharer/sharer.go
@@ -38,6 +38,8 @@
 type Sharer struct {
 	// Services returns the services whose requests are placed.
 	Services func() []identifier.ServiceName
+	// IsHub reports whether this daemon is a hub, to which all others send heartbeats.
+	IsHub func() bool
 	// IsPlacing reports whether this daemon places a service's requests.
 	IsPlacing func(service identifier.ServiceName) bool
 	// Suspicions returns this daemon's evidence, the quarantined parts first. It may
@@ -78,13 +80,16 @@
 	return &Sharer{received: make(map[partKey]quarantiner.Suspicion), wake: make(chan struct{}, 1)}
 }
 
-// Report returns the evidence for a heartbeat: all of it for the services whose
-// requests this daemon places, and otherwise only what exceeds the other daemons'
-// reports, as it has when it placed requests for a while. If there is more than
-// maxReported, the quarantined parts go first, then those with the most and with the
-// newest crashes.
+// Report returns the evidence for a heartbeat. Each hub reports the parts under
+// suspicion, as the daemon that places the requests may have ended before it told a
+// daemon that has just started or become a hub. The daemon that places the requests also
+// reports the parts that were cleared. Otherwise only what exceeds the other daemons'
+// reports is left, as there is at a daemon that placed requests for a while. If there is
+// more than maxReported, the quarantined parts go first, then those with the most and
+// with the newest crashes.
 func (s *Sharer) Report() (report []heartbeater.Suspicion) {
 	now := s.Clock.Now()
+	isHub := s.IsHub()
 	for _, service := range s.Services() {
 		suspicions := s.Suspicions(service)
 		if len(suspicions) == 0 {
@@ -92,9 +97,10 @@
 		}
 		isPlacing := s.IsPlacing(service)
 		for _, suspicion := range suspicions {
+			isExpected := isPlacing || isHub && !isCleared(suspicion)
 			age := max(0, now.Sub(suspicion.LastCrash))
 			isOutdated := age > s.MaxAge || isCleared(suspicion) && age > maxClearedAge
-			if isOutdated || !isPlacing && !s.exceedsReceived(service, suspicion) {
+			if isOutdated || !isExpected && !s.exceedsReceived(service, suspicion) {
 				continue
 			}
 			report = append(report, heartbeater.Suspicion{
--- a/process/sharer/sharer_test.go
+++ b/process/sharer/sharer_test.go
@@ -21,6 +21,7 @@
 type testDaemon struct {
 	*Sharer
 	clock     *clockwork.FakeClock
+	isHub     bool
 	isPlacing bool
 	evidence  map[identifier.PromptPartID]quarantiner.Suspicion
 	// adoptions counts the suspicions that were adopted.
@@ -36,6 +37,7 @@
 		evidence: make(map[identifier.PromptPartID]quarantiner.Suspicion),
 	}
 	d.Services = func() []identifier.ServiceName { return []identifier.ServiceName{"llm"} }
+	d.IsHub = func() bool { return d.isHub }
 	d.IsPlacing = func(identifier.ServiceName) bool { return d.isPlacing }
 	d.Suspicions = func(identifier.ServiceName) (suspicions []quarantiner.Suspicion) {
 		for _, suspicion := range d.evidence {
@@ -117,6 +119,30 @@
 	is.Equal(len(fallback.Report()), 1)
 }
 
+// TestHubTellsOfEvidenceThatThePlacingDaemonCannot guards against a daemon that restarts
+// within the time in which the others still count on the one that was killed, and then
+// places requests without the evidence.
+func TestHubTellsOfEvidenceThatThePlacingDaemonCannot(t *testing.T) {
+	is := is.New(t)
+	killed, hub, restarted := newTestDaemon(0), newTestDaemon(0), newTestDaemon(0)
+	killed.isPlacing, hub.isHub = true, true
+	killed.crash("bad")
+	killed.quarantine("bad")
+	killed.crash("suspect")
+	killed.evidence["sound"] = quarantiner.Suspicion{Part: "sound", LastCrash: killed.clock.Now()}
+	hub.sendTo(killed)
+	restarted.sendTo(hub)
+	is.True(restarted.evidence["bad"].Quarantined)
+	is.Equal(restarted.evidence["suspect"].Crashes, 1)
+	is.Equal(len(hub.Report()), 2) // hubs leave it to the placing daemon to tell what was cleared
+	restarted.isPlacing = true
+	for range 3 {
+		restarted.sendTo(hub)
+	}
+	is.Equal(hub.adoptions, 3)
+	is.Equal(restarted.adoptions, 2)
+}
+
 func TestOtherDaemonsDoNotRepeatTheEvidence(t *testing.T) {
 	is := is.New(t)
 	placing, other := newTestDaemon(0), newTestDaemon(0)
