Do not take a crash for another one after a freeze

Cause: a daemon that was frozen handles the heartbeats that arrived meanwhile, and the age of a crash in them lacks the time of the freeze, so the crash looked 4 s newer there. It reported it as such, and from 3 s on that counted as another crash: a quarantine was extended, and a part under suspicion could have been held to have failed a test more.

Crashes are told apart by their number. The time alone decides only from 30 s on, for a part that was cleared, unnoticed here, and has crashed an engine again. The alignment of cleared parts keeps its bound of 3 s.

TestFrozenDaemonDoesNotMakeACrashLookNew failed before with both parts 10 s newer.

--- a/process/sharer/sharer.go
+++ b/process/sharer/sharer.go
@@ -25,9 +25,12 @@
 	// maxReported is the maximum number of suspicions in one heartbeat.
 	maxReported = 32
 	// minAgeDifference is the difference between the ages of two crashes from which on
-	// they are different crashes. It exceeds the time that heartbeats to a daemon and
-	// back take, by which a reported crash looks newer than it is.
-	minAgeDifference = 3 * time.Second
+	// they are different crashes although no more are counted. It exceeds the usual
+	// freezes of a daemon: a crash looks newer than it is by the time for which the
+	// heartbeat that reported it was not handled.
+	minAgeDifference = 30 * time.Second
+	// maxHeartbeatDelay is the same for daemons that are not frozen.
+	maxHeartbeatDelay = 3 * time.Second
 	// maxClearedAge is the age of the newest crash up to which other daemons are told
 	// that a part was cleared. After that, they find it out themselves.
 	maxClearedAge = 30 * time.Second
@@ -173,11 +176,12 @@
 	var news []quarantiner.Suspicion
 	for _, suspicion := range suspicions {
 		own, isHeld := held[suspicion.Part]
-		isOlder := isHeld && own.LastCrash.Sub(suspicion.LastCrash) >= minAgeDifference
+		ownIsNewerBy := own.LastCrash.Sub(suspicion.LastCrash)
+		isOlder := isHeld && ownIsNewerBy >= minAgeDifference
 		switch {
 		case isHeld && !isNews(suspicion, own), isOlder && isPlacing && suspicion.Crashes <= own.Crashes:
 			continue
-		case isCleared(suspicion) && !isPlacing && !isOlder && own.LastCrash.After(suspicion.LastCrash):
+		case isHeld && isCleared(suspicion) && !isPlacing && ownIsNewerBy > 0 && ownIsNewerBy < maxHeartbeatDelay:
 			// The crash that was cleared looks newer here only because of the time that
 			// the heartbeats took.
 			suspicion.LastCrash = own.LastCrash
--- a/process/sharer/sharer_test.go
+++ b/process/sharer/sharer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -248,6 +249,34 @@
 	is.True(b.clock.Since(b.evidence["bad"].LastCrash) >= a.clock.Since(crashedAt)-delay)
 }
 
+// TestFrozenDaemonDoesNotMakeACrashLookNew guards against a crash that counts twice,
+// because a daemon that was frozen handles a heartbeat late and reports the crash as
+// newer than it is.
+func TestFrozenDaemonDoesNotMakeACrashLookNew(t *testing.T) {
+	is := is.New(t)
+	placing, frozen := newTestDaemon(0), newTestDaemon(0)
+	placing.isPlacing = true
+	frozen.isHub = true
+	placing.crash("suspect")
+	placing.crash("bad")
+	placing.quarantine("bad")
+	want := maps.Clone(placing.evidence)
+	report := placing.Report()
+	placing.clock.Advance(10 * time.Second)
+	frozen.clock.Advance(10 * time.Second)
+	frozen.HandleReport(report)
+	is.Equal(len(frozen.evidence), 2)
+	placing.sendTo(frozen)
+	is.Equal(placing.evidence, want)
+	is.Equal(frozen.adoptions, 2)
+
+	placing.clock.Advance(minAgeDifference)
+	frozen.clock.Advance(minAgeDifference)
+	placing.evidence["bad"] = quarantiner.Suspicion{Part: "bad", Crashes: 1, Requests: 1, LastCrash: placing.clock.Now()}
+	placing.sendTo(frozen)
+	is.Equal(frozen.evidence["bad"].LastCrash, placing.clock.Now()) // a new crash after that
+}
+
 func TestExpiredEvidenceIsIgnored(t *testing.T) {
 	is := is.New(t)
 	d := newTestDaemon(0)
