Hold a reset before the header against a request only if its engine crashed

The cause is the quarantine's own rule: it took each cut before output for a crash, and an engine that goes down resets requests that it never began; their rare parts are cleared by nobody else, so their retries were given up after 0.5 s.

The proxier reports a cut before the header by a step of its own. The pool holds it against the request only if the engine broke off a response within a second of it.

The test failed before: the retry was refused.

--- a/request/placer/pool.go
+++ b/request/placer/pool.go
@@ -70,6 +70,10 @@
 	// maxRetryHold is how long a request that may have crashed its engine waits for
 	// others to clear it.
 	maxRetryHold = 500 * time.Millisecond
+	// crashWindow is the time within which the cuts of one crash are reported.
+	// maxUnanswered bounds the requests that are remembered for it.
+	crashWindow   = time.Second
+	maxUnanswered = 16
 )
 
 // Key identifies a placement by the daemon that requested it and a number that
@@ -145,6 +149,16 @@
 	externalUpdatedAt time.Time
 	// roleChange is the role change in progress, if any.
 	roleChange pendingRoleChange
+	// brokeOffAt is when the engine last broke off a response, and unanswered holds the
+	// requests that it broke off before a header shortly before that.
+	brokeOffAt time.Time
+	unanswered []unansweredCut
+}
+
+// unansweredCut is a placement whose engine broke off before the header of its response.
+type unansweredCut struct {
+	placement *placement
+	at        time.Time
 }
 
 // Pool assigns the requests of one model service to its engines. It is not safe
--- a/request/placer/quarantine_test.go
+++ b/request/placer/quarantine_test.go
@@ -459,3 +459,43 @@
 	is.True(ok)
 	is.Equal(outcome.Refusal.Code, refuser.CrashSuspected)
 }
+
+// An engine that goes down resets requests that it never began. Sound requests were held
+// back for that as if they had crashed it, and given up.
+func TestARequestResetBeforeAnyResponseIsRetriedUnlessItsEngineCrashed(t *testing.T) {
+	tests := []struct {
+		name string
+		// otherStep is the end of another placement on the engine, which has output.
+		otherStep Step
+		code      refuser.Code
+	}{
+		{"the engine refuses work", StepEnded, ""},
+		{"the engine crashed", StepDecodeFailed, refuser.CrashSuspected},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			p := NewPool()
+			p.Configure(newPool(1, 1).profile, append(engines(1, 1), registrar.Entry{Name: "spare", Role: parser.RoleDecode, Slots: 48}))
+			p.engines["spare"].ejectedUntil = start.Add(250 * time.Millisecond)
+			placeStarting(t, p, 1, start, "other")
+			p.HandleReport(Report{Key: Key{requesterName, 1}, Step: StepStarted}, start.Add(100*time.Millisecond))
+			grant := placeStarting(t, p, 2, start.Add(200*time.Millisecond), "own")
+			now := start.Add(300 * time.Millisecond)
+			p.HandleReport(Report{Key: Key{requesterName, 2}, Step: StepCutBeforeHeader}, now)
+			p.HandleReport(Report{Key: Key{requesterName, 1}, Step: test.otherStep, Output: 100, Elapsed: time.Second}, now)
+			retry := newRequest(3, 5002, 1500)
+			retry.PromptParts, retry.Avoid = []identifier.PromptPartID{"own"}, []identifier.UpstreamName{grant.Decode}
+			pending := p.Submit(retry, now)
+			p.ProcessQueue(now)
+			p.ProcessQueue(now.Add(maxRetryHold))
+			outcome, ok := outcomeOf(pending)
+			is.True(ok)
+			if test.code == "" {
+				is.True(outcome.Refusal == nil)
+				return
+			}
+			is.Equal(outcome.Refusal.Code, test.code)
+		})
+	}
+}
--- a/request/placer/report.go
+++ b/request/placer/report.go
@@ -23,9 +23,11 @@
 	// because the prefill or the decode engine failed.
 	StepPrefillFailed Step = "prefill-failed"
 	StepDecodeFailed  Step = "decode-failed"
-	// StepCutBeforeOutput means that the request is over because the decode engine
-	// received it and broke off before the first event.
+	// StepCutBeforeOutput means that the request is over because the decode engine broke
+	// off between the header of its response and the first event. StepCutBeforeHeader
+	// means that it broke off before the header, and may not have begun the request.
 	StepCutBeforeOutput Step = "cut-before-output"
+	StepCutBeforeHeader Step = "cut-before-header"
 )
 
 // Report announces that a placement has reached a step.
@@ -59,15 +61,37 @@
 	case StepPrefillFailed:
 		pl.prefill.markFailed(now)
 		p.release(pl)
-	case StepDecodeFailed, StepCutBeforeOutput:
+	case StepDecodeFailed, StepCutBeforeOutput, StepCutBeforeHeader:
 		pl.decode.markFailed(now)
-		if report.Step == StepCutBeforeOutput || slices.Contains(p.outputs, pl) {
-			p.recordCut(pl, now)
-		}
+		p.handleCut(pl, report.Step, now)
 		p.release(pl)
 	}
 }
 
+// handleCut holds a crash of an engine against the placements without output. An engine
+// that refuses work resets requests before the header too, so these count only if the
+// engine broke off a response at about the same time.
+func (p *Pool) handleCut(pl *placement, step Step, now time.Time) {
+	e := pl.decode
+	e.unanswered = slices.DeleteFunc(e.unanswered, func(u unansweredCut) bool { return now.Sub(u.at) >= crashWindow })
+	switch {
+	case step == StepCutBeforeHeader && now.Sub(e.brokeOffAt) >= crashWindow:
+		if len(e.unanswered) < maxUnanswered {
+			e.unanswered = append(e.unanswered, unansweredCut{pl, now})
+		}
+		return
+	case step == StepCutBeforeOutput, step == StepCutBeforeHeader, slices.Contains(p.outputs, pl):
+		p.recordCut(pl, now)
+	}
+	if step == StepCutBeforeOutput || pl.decoding {
+		e.brokeOffAt = now
+		for _, u := range e.unanswered {
+			p.recordCut(u.placement, now)
+		}
+		e.unanswered = nil
+	}
+}
+
 // recordOutput ends the time in which a placement may crash its engine. Its output clears
 // the parts of its prompt after settleTime.
 func (p *Pool) recordOutput(pl *placement) {
--- a/request/proxier/proxier_test.go
+++ b/request/proxier/proxier_test.go
@@ -248,7 +248,7 @@
 		step  placer.Step
 	}{
 		{"cut before the first event", func(u *fakeUpstream) { u.abortBeforeEvents = true }, placer.StepCutBeforeOutput},
-		{"cut before the header", func(u *fakeUpstream) { u.abortBeforeHeader = true }, placer.StepCutBeforeOutput},
+		{"cut before the header", func(u *fakeUpstream) { u.abortBeforeHeader = true }, placer.StepCutBeforeHeader},
 		{"cut after an event", func(u *fakeUpstream) { u.abortAfter = 1 }, placer.StepDecodeFailed},
 		{"rejected", func(u *fakeUpstream) { u.rejecting = true }, placer.StepDecodeFailed},
 	}
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -71,7 +71,9 @@
 	// waitingSince is when the caller began to wait for the next event: the arrival, or
 	// the latest event.
 	waitingSince time.Time
-	// hasEngineOutput is set once the current decode engine has sent an event.
+	// hasEngineHeader is set once the current decode engine has sent the header of its
+	// response, and hasEngineOutput once it has sent an event.
+	hasEngineHeader bool
 	hasEngineOutput bool
 }
 
@@ -229,7 +231,7 @@
 func (p *Proxier) decode(ctx context.Context, ss *streamState, engine registrar.Entry, handle KVHandle, report *placer.Report) (refusal *refuser.Refusal, retry bool, err error) {
 	ss.hops++
 	ss.upstream = engine.Name
-	ss.hasEngineOutput = false
+	ss.hasEngineHeader, ss.hasEngineOutput = false, false
 	hop := Hop{Upstream: engine, Stage: StageDecode, Handle: handle, LastEventID: ss.lastEventID}
 	hopCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -248,6 +250,7 @@
 		return p.noResponseRefusal(ctx, ss.requestState, refuser.UpstreamFailed, "the decode engine did not answer"), retry, nil
 	}
 	defer func() { _ = response.Body.Close() }()
+	ss.hasEngineHeader = true
 	if p.Protocol.IsNotRun(response.StatusCode, response.Header) {
 		return p.handleRejection(ctx, ss, engine, handle, response, report)
 	}
@@ -291,9 +294,12 @@
 	case ctx.Err() != nil:
 	case ss.hasEngineOutput:
 		p.Meter.CountEvent(meter.EventCutAfterOutput)
-	default:
+	case ss.hasEngineHeader:
 		p.Meter.CountEvent(meter.EventCutBeforeOutput)
 		report.Step = placer.StepCutBeforeOutput
+	default:
+		p.Meter.CountEvent(meter.EventCutBeforeOutput)
+		report.Step = placer.StepCutBeforeHeader
 	}
 }
 
