--- a/process/sharer/sharer_test.go
+++ b/process/sharer/sharer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 type testDaemon struct {
 	*Sharer
 	clock     *clockwork.FakeClock
+	isHub     bool
 	isPlacing bool
 	evidence  map[identifier.PromptPartID]quarantiner.Suspicion
 	// adoptions counts the suspicions that were adopted.
@@ -36,6 +38,7 @@
 		evidence: make(map[identifier.PromptPartID]quarantiner.Suspicion),
 	}
 	d.Services = func() []identifier.ServiceName { return []identifier.ServiceName{"llm"} }
+	d.IsHub = func() bool { return d.isHub }
 	d.IsPlacing = func(identifier.ServiceName) bool { return d.isPlacing }
 	d.Suspicions = func(identifier.ServiceName) (suspicions []quarantiner.Suspicion) {
 		for _, suspicion := range d.evidence {
@@ -117,6 +120,30 @@
 	is.Equal(len(fallback.Report()), 1)
 }
 
+// TestHubTellsOfEvidenceThatThePlacingDaemonCannot guards against a daemon that restarts
+// within the time in which the others still count on the one that was killed, and then
+// places requests without the evidence.
+func TestHubTellsOfEvidenceThatThePlacingDaemonCannot(t *testing.T) {
+	is := is.New(t)
+	killed, hub, restarted := newTestDaemon(0), newTestDaemon(0), newTestDaemon(0)
+	killed.isPlacing, hub.isHub = true, true
+	killed.crash("bad")
+	killed.quarantine("bad")
+	killed.crash("suspect")
+	killed.evidence["sound"] = quarantiner.Suspicion{Part: "sound", LastCrash: killed.clock.Now()}
+	hub.sendTo(killed)
+	restarted.sendTo(hub)
+	is.True(restarted.evidence["bad"].Quarantined)
+	is.Equal(restarted.evidence["suspect"].Crashes, 1)
+	is.Equal(len(hub.Report()), 2) // hubs leave it to the placing daemon to tell what was cleared
+	restarted.isPlacing = true
+	for range 3 {
+		restarted.sendTo(hub)
+	}
+	is.Equal(hub.adoptions, 3)
+	is.Equal(restarted.adoptions, 2)
+}
+
 func TestOtherDaemonsDoNotRepeatTheEvidence(t *testing.T) {
 	is := is.New(t)
 	placing, other := newTestDaemon(0), newTestDaemon(0)
@@ -222,6 +249,34 @@
 	is.True(b.clock.Since(b.evidence["bad"].LastCrash) >= a.clock.Since(crashedAt)-delay)
 }
 
+// TestFrozenDaemonDoesNotMakeACrashLookNew guards against a crash that counts twice,
+// because a daemon that was frozen handles a heartbeat late and reports the crash as
+// newer than it is.
+func TestFrozenDaemonDoesNotMakeACrashLookNew(t *testing.T) {
+	is := is.New(t)
+	placing, frozen := newTestDaemon(0), newTestDaemon(0)
+	placing.isPlacing = true
+	frozen.isHub = true
+	placing.crash("suspect")
+	placing.crash("bad")
+	placing.quarantine("bad")
+	want := maps.Clone(placing.evidence)
+	report := placing.Report()
+	placing.clock.Advance(10 * time.Second)
+	frozen.clock.Advance(10 * time.Second)
+	frozen.HandleReport(report)
+	is.Equal(len(frozen.evidence), 2)
+	placing.sendTo(frozen)
+	is.Equal(placing.evidence, want)
+	is.Equal(frozen.adoptions, 2)
+
+	placing.clock.Advance(minAgeDifference)
+	frozen.clock.Advance(minAgeDifference)
+	placing.evidence["bad"] = quarantiner.Suspicion{Part: "bad", Crashes: 1, Requests: 1, LastCrash: placing.clock.Now()}
+	placing.sendTo(frozen)
+	is.Equal(frozen.evidence["bad"].LastCrash, placing.clock.Now()) // a new crash after that
+}
+
 func TestExpiredEvidenceIsIgnored(t *testing.T) {
 	is := is.New(t)
 	d := newTestDaemon(0)
