Limit the head of an upstream's response

Callers saw nothing until their deadline, and the daemon kept every byte of a response head that had no end: a status line, a header line, header lines or interim responses. Cause: http.ReadResponse has no limit on what it reads.

Ruled out: a limit on the number of lines or of interim responses alone, as one line may have no end either.

Change: while the heads of responses are expected, a connection yields at most maxHeadBytes. Beyond that the exchange fails with ErrHeadTooLarge as maybe sent, and its connection is closed, so that an idempotent request still has time for another server. The limit does not apply to bodies.

--- a/connection/exchanger/conn.go
+++ b/connection/exchanger/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,7 +21,9 @@
 type conn struct {
 	net.Conn
 	address identifier.Address
-	reader  *bufio.Reader
+	// limit is the source of reader. It bounds the heads of responses.
+	limit  *headLimit
+	reader *bufio.Reader
 	// bytesWritten counts the bytes written for the current request.
 	bytesWritten atomic.Int64
 	// sendDone is closed when the current request is fully written or writing
@@ -50,7 +53,42 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: netConn, address: address, reader: newReader(netConn)}, nil
+	limit := &headLimit{source: netConn}
+	return &conn{Conn: netConn, address: address, limit: limit, reader: newReader(limit)}, nil
+}
+
+// headLimit limits the bytes that are read from a connection while the heads of
+// responses are expected. A body has no limit here, as it is passed on in parts.
+type headLimit struct {
+	source io.Reader
+	active bool
+	// bytesLeft is how many bytes may still be read while the limit is active.
+	bytesLeft int
+	// exceeded is set by a read beyond the limit. The parser of a head may report
+	// an incomplete line instead of the error of that read.
+	exceeded bool
+}
+
+// start allows maxHeadBytes from now on.
+func (l *headLimit) start() {
+	l.active = true
+	l.bytesLeft = maxHeadBytes
+}
+
+func (l *headLimit) stop() { l.active = false }
+
+// Read reads from the connection. It fails with ErrHeadTooLarge beyond the limit.
+func (l *headLimit) Read(p []byte) (n int, err error) {
+	if !l.active {
+		return l.source.Read(p)
+	}
+	if l.bytesLeft <= 0 {
+		l.exceeded = true
+		return 0, ErrHeadTooLarge
+	}
+	n, err = l.source.Read(p[:min(len(p), l.bytesLeft)])
+	l.bytesLeft -= n
+	return n, err
 }
 
 // SetTCPUserTimeout sets TCP_USER_TIMEOUT, which is how long sent data may stay
--- /dev/null
+++ b/connection/exchanger/endless_test.go
@@ -0,0 +1,97 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+)
+
+const (
+	// floodBytes is how much an endless response sends at most, so that a client
+	// without a limit fails its test and not the machine.
+	floodBytes = 32 << 20
+	// floodDeadline ends the exchanges of a client without a limit.
+	floodDeadline = 2 * time.Second
+)
+
+// startFlood runs a server that responds to the first request of each connection
+// with start and then unit without end. It reports each connection that the client
+// has closed.
+func startFlood(t *testing.T, start, unit string) (address identifier.Address, closed chan struct{}) {
+	t.Helper()
+	closed = make(chan struct{}, 1)
+	block := []byte(strings.Repeat(unit, 1+(64<<10)/len(unit)))
+	address = startServer(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+		_, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, err = io.WriteString(conn, start)
+		for sent := 0; err == nil && sent < floodBytes; sent += len(block) {
+			_, err = conn.Write(block)
+		}
+		_, _ = in.ReadByte()
+		closed <- struct{}{}
+	})
+	return address, closed
+}
+
+func awaitSignal(t *testing.T, signal <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-signal:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection is still open")
+	}
+}
+
+// Guards against a response head without end that fills the memory until the
+// request's deadline.
+func TestEndlessHeadFailsTheExchangeAndClosesTheConnection(t *testing.T) {
+	tests := []struct {
+		name  string
+		start string
+		unit  string
+	}{
+		{"status line", "HTTP/1.1 200 ", "OK "},
+		{"header line", "HTTP/1.1 200 OK\r\nX-Long: ", "a"},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "X-Other: a\r\n"},
+		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			address, closed := startFlood(t, test.start, test.unit)
+			ctx, cancel := context.WithTimeout(context.Background(), floodDeadline)
+			defer cancel()
+			_, err := newExchanger(t).Exchange(ctx, address, newRequest("1"))
+			is.True(MaybeSent(err))
+			is.NoErr(ctx.Err()) // the exchange fails before its deadline
+			is.True(errors.Is(err, ErrHeadTooLarge))
+			awaitSignal(t, closed)
+		})
+	}
+}
+
+func TestLongHeadWithinTheLimitIsRead(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+		_, _ = http.ReadRequest(in)
+		long := strings.Repeat("a", maxHeadBytes/2)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Long: %s\r\n\r\n%s", long, strings.Repeat("b", 2*maxHeadBytes))
+	})
+	response, err := newExchanger(t).Exchange(context.Background(), address, newRequest("1"))
+	is.NoErr(err)
+	is.Equal(len(readAll(is, response)), 2*maxHeadBytes)
+}
--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -48,6 +48,9 @@
 	// other requests.
 	maxMismatchedResponses = 2
 	bufferBytes            = 4096
+	// maxHeadBytes limits the bytes of a response before its body, including those
+	// of interim responses.
+	maxHeadBytes = 64 << 10
 	// minFinalStatus is the lowest status of a final response. Interim responses
 	// have a lower one.
 	minFinalStatus = 200
@@ -57,6 +60,10 @@
 // sent only responses to other requests.
 var ErrMismatchedResponse = errors.New("the response belongs to another request")
 
+// ErrHeadTooLarge is the cause of an exchange that failed because the upstream sent
+// too many bytes before the body of a response.
+var ErrHeadTooLarge = errors.New("the response head exceeds the size limit")
+
 // Request is a request as it is sent on the wire.
 type Request struct {
 	Method string
@@ -179,8 +186,12 @@
 	c.sendDone = make(chan struct{})
 	go c.send(httpReq, c.sendDone)
 	mismatched := 0
+	c.limit.start()
 	for {
 		resp, err := http.ReadResponse(c.reader, httpReq)
+		if c.limit.exceeded {
+			return nil, ErrHeadTooLarge
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -190,6 +201,7 @@
 		if resp.StatusCode < minFinalStatus {
 			continue
 		}
+		c.limit.stop()
 		if x.IsMatchingResponse(resp.Header, request.Header) {
 			return resp, nil
 		}
@@ -199,6 +211,7 @@
 		if err != nil || mismatched >= maxMismatchedResponses || resp.ContentLength < 0 {
 			return nil, ErrMismatchedResponse
 		}
+		c.limit.start()
 	}
 }
 
