Do not read a mismatched response without end

Callers saw nothing until their deadline when a connection carried a response to another request whose body did not end: the exchange discarded that body with no limit while it waited for its own response. A body of unknown length was even read to its end before the exchange failed.

Ruled out: a growing memory, as the bytes were discarded; it was time and processor time that had no bound but the deadline.

Change: the exchange fails with ErrMismatchedResponse at once, as maybe sent, if the mismatched body is longer than maxDiscardedBytes or of unknown length, and its connection is closed. Shorter bodies are discarded as before, so that a late copy of an earlier response costs no request.

--- a/connection/exchanger/endless_test.go
+++ b/connection/exchanger/endless_test.go
@@ -95,3 +95,30 @@
 	is.NoErr(err)
 	is.Equal(len(readAll(is, response)), 2*maxHeadBytes)
 }
+
+// Guards against a response to another request that is read without end while the
+// response to this one is awaited.
+func TestEndlessMismatchedResponseFailsTheExchangeAndClosesTheConnection(t *testing.T) {
+	tests := []struct {
+		name  string
+		start string
+		unit  string
+	}{
+		{"long", "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 9000000000\r\n\r\n", "a"},
+		{"chunked", "HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+		{"close-delimited", "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", "a"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			address, closed := startFlood(t, test.start, test.unit)
+			ctx, cancel := context.WithTimeout(context.Background(), floodDeadline)
+			defer cancel()
+			_, err := newExchanger(t).Exchange(ctx, address, newRequest("1"))
+			is.True(MaybeSent(err))
+			is.NoErr(ctx.Err()) // the exchange fails before its deadline
+			is.True(errors.Is(err, ErrMismatchedResponse))
+			awaitSignal(t, closed)
+		})
+	}
+}
--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -47,7 +47,10 @@
 	// An exchange fails when it has received maxMismatchedResponses responses to
 	// other requests.
 	maxMismatchedResponses = 2
-	bufferBytes            = 4096
+	// maxDiscardedBytes limits the body of a response to another request. The
+	// exchange fails if such a body is longer or of unknown length.
+	maxDiscardedBytes = 1 << 20
+	bufferBytes       = 4096
 	// maxHeadBytes limits the bytes of a response before its body, including those
 	// of interim responses.
 	maxHeadBytes = 64 << 10
@@ -207,8 +210,11 @@
 		}
 		mismatched++
 		c.notReusable = true
+		if mismatched >= maxMismatchedResponses || resp.ContentLength < 0 || resp.ContentLength > maxDiscardedBytes {
+			return nil, ErrMismatchedResponse
+		}
 		_, err = io.Copy(io.Discard, resp.Body)
-		if err != nil || mismatched >= maxMismatchedResponses || resp.ContentLength < 0 {
+		if err != nil {
 			return nil, ErrMismatchedResponse
 		}
 		c.limit.start()
