Count a server whose body does not end as failed

Change: the outcome of a response that is relayed in parts is recorded when the relay ends: success only at the end of the body, failure if reading it failed or the deadline came. A body that is incomplete at the deadline is a failure of its server too. If the caller left, the outcome says nothing about the server, as before.

--- /dev/null
+++ b/request/proxier/endless_test.go
@@ -0,0 +1,108 @@
+package proxier
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+const (
+	// floodBytes is how much an endless response sends at most, so that a proxier
+	// without a limit fails its test and not the machine.
+	floodBytes = 32 << 20
+	// floodPause is the pause between the parts of a slow endless response.
+	floodPause = 10 * time.Millisecond
+)
+
+// flood returns a handler that responds with start and then unit without end. It
+// pauses after each unit, or after none if pause is 0, and closes closed once its
+// caller has closed the connection.
+func flood(start, unit string, pause time.Duration, closed chan struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if pause == 0 {
+			unit = strings.Repeat(unit, 1+(64<<10)/len(unit))
+		}
+		control := http.NewResponseController(w)
+		_, err := w.Write([]byte(start))
+		for sent := 0; err == nil && sent < floodBytes; sent += len(unit) {
+			_, err = w.Write([]byte(unit))
+			_ = control.Flush()
+			if pause > 0 {
+				time.Sleep(pause)
+			}
+		}
+		<-r.Context().Done()
+		select {
+		case closed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func awaitSignal(t *testing.T, signal <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-signal:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection is still open")
+	}
+}
+
+// lastInOrder returns the names that come last when the upstreams are ranked often.
+func lastInOrder(f *fixture) (names []string) {
+	for range 50 {
+		ordered := f.Ejector.Order(f.Registrar.Ready("s"))
+		name := string(ordered[len(ordered)-1].Name)
+		if !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Guards against a response body without end that counts as a success of its server,
+// so that the server keeps its rank and gets further requests.
+func TestServerWithEndlessBodyCountsAsFailed(t *testing.T) {
+	tests := []struct {
+		name  string
+		pause time.Duration
+		// relayed is true if the response is too long to be read completely before
+		// it is relayed.
+		relayed bool
+	}{
+		{"fast", 0, true},
+		{"slow", floodPause, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, parser.Route{Kind: parser.RouteNonIdempotent, MaxAttempts: 1}, "a", "b")
+			closed := make(chan struct{}, 1)
+			f.upstreams["a"].respond = flood("", "x", test.pause, closed)
+			const failures = 2
+			for tries := 0; f.upstreams["a"].runCount() < failures && tries < 200; tries++ {
+				runs := f.upstreams["a"].runCount()
+				_, refusal, err := f.serve(context.Background(), 300*time.Millisecond)
+				if f.upstreams["a"].runCount() == runs {
+					continue
+				}
+				is.Equal(errors.Is(err, ErrResponseTruncated), test.relayed)
+				if !test.relayed {
+					is.Equal(refusal.Status, http.StatusGatewayTimeout)
+					is.True(!refusal.NotRun)
+				}
+				awaitSignal(t, closed)
+			}
+			is.Equal(f.upstreams["a"].runCount(), failures)
+			is.Equal(lastInOrder(f), []string{"a"})
+		})
+	}
+}
--- a/request/proxier/plain.go
+++ b/request/proxier/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -39,7 +40,12 @@
 	notRun bool
 	// misdirected is set if a different upstream responded at the address.
 	misdirected bool
-	err         error
+	// incomplete is set if a part of a response arrived and its end did not.
+	incomplete bool
+	err        error
+	// end records the outcome of a hop whose response has more than body. It is nil
+	// if the outcome is already recorded.
+	end func(ejector.Outcome)
 }
 
 func (r hopResult) isFailure() bool {
@@ -55,7 +61,7 @@
 	}
 	last := p.sendWithRetries(ctx, rs, upstreams)
 	if last.err == nil && !last.notRun {
-		return nil, p.relayResponse(rs, last)
+		return nil, p.relayResponse(ctx, rs, last)
 	}
 	last.close()
 	if last.notRun && !rs.mayHaveRun {
@@ -144,12 +150,16 @@
 		r.response.Body = &cancelOnClose{ReadCloser: r.response.Body, cancel: cancel}
 	}
 	switch {
+	case r.incomplete && !errors.Is(ctx.Err(), context.Canceled):
+		done(ejector.Failed)
 	case ctx.Err() != nil && r.err != nil:
 		done(ejector.Abandoned)
 	case r.notRun:
 		done(ejector.Rejected)
 	case r.isFailure():
 		done(ejector.Failed)
+	case r.hasMore:
+		r.end = done
 	default:
 		done(ejector.Succeeded)
 	}
@@ -193,7 +203,7 @@
 	r.body, r.hasMore, err = readBodyPrefix(response.Body, maxBufferedBytes)
 	if err != nil {
 		_ = response.Body.Close()
-		return hopResult{err: fmt.Errorf("read the response of %s: %w", upstream.Name, err), notRun: r.notRun, misdirected: r.misdirected}
+		return hopResult{err: fmt.Errorf("read the response of %s: %w", upstream.Name, err), notRun: r.notRun, misdirected: r.misdirected, incomplete: true}
 	}
 	if !r.hasMore {
 		_ = response.Body.Close()
@@ -213,8 +223,12 @@
 
 // relayResponse writes the upstream's response to the caller, unchanged except for
 // hop-by-hop headers. Its error wraps ErrResponseTruncated.
-func (p *Proxier) relayResponse(rs *requestState, r hopResult) error {
+func (p *Proxier) relayResponse(ctx context.Context, rs *requestState, r hopResult) (err error) {
 	defer r.close()
+	outcome := ejector.Abandoned
+	if r.end != nil {
+		defer func() { r.end(outcome) }()
+	}
 	length := int64(-1)
 	if !r.hasMore {
 		length = int64(len(r.body))
@@ -222,16 +236,37 @@
 		length = r.response.ContentLength
 	}
 	rs.w.writeHeader(r.response.StatusCode, r.response.Header, length)
-	err := rs.w.write(r.body)
+	err = rs.w.write(r.body)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrResponseTruncated, err)
 	}
 	if !r.hasMore {
 		return nil
 	}
-	_, err = io.Copy(rs.w, r.response.Body)
+	remainder := &remainderReader{body: r.response.Body}
+	_, err = io.Copy(rs.w, remainder)
+	if remainder.err != nil && !errors.Is(ctx.Err(), context.Canceled) {
+		outcome = ejector.Failed
+	}
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrResponseTruncated, err)
 	}
+	outcome = ejector.Succeeded
 	return nil
 }
+
+// remainderReader reads the remainder of a response body and keeps the error, which
+// tells a failure of the upstream from one of the caller.
+type remainderReader struct {
+	body io.Reader
+	err  error
+}
+
+// Read reads from the body.
+func (r *remainderReader) Read(p []byte) (n int, err error) {
+	n, err = r.body.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
+	return n, err
+}
--- a/request/proxier/proxier_test.go
+++ b/request/proxier/proxier_test.go
@@ -48,6 +48,9 @@
 	abortAfter int
 	hang       bool
 	status     int
+	// respond writes the response to anything but the release of a handle, if it is
+	// not nil.
+	respond http.HandlerFunc
 }
 
 // ServeHTTP responds as the test configured it.
@@ -55,11 +58,17 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	u.mu.Lock()
 	rejecting, hang, status, abortAfter := u.rejecting, u.hang, u.status, u.abortAfter
+	respond := u.respond
 	switch {
 	case r.Method == http.MethodDelete:
 		u.freedHandles++
 		u.mu.Unlock()
 		return
+	case respond != nil:
+		u.runs++
+		u.mu.Unlock()
+		respond(w, r)
+		return
 	case rejecting:
 		u.mu.Unlock()
 		w.Header().Set("X-Not-Run", "1")
@@ -86,6 +95,12 @@
 	u.stream(w, r, abortAfter)
 }
 
+func (u *fakeUpstream) runCount() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs
+}
+
 func (u *fakeUpstream) stream(w http.ResponseWriter, r *http.Request, abortAfter int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(r.Header.Get("X-Resume"))
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -287,7 +287,7 @@
 		p.recordDecodeFailure(ctx, ss, engine, report)
 		return fmt.Errorf("%w: %w", ErrResponseTruncated, err)
 	}
-	return p.relayResponse(ss.requestState, hopResult{response: response, body: body, hasMore: hasMore})
+	return p.relayResponse(ctx, ss.requestState, hopResult{response: response, body: body, hasMore: hasMore})
 }
 
 // freeKVHandle frees a KV handle that no decode engine will fetch.
