Let a relayed response use the whole time of its request

Ruled out: the deadline of the request and the connection, as the server went on writing and the error was that of the hop's context.

Change: the limit ends when the hop's response is accepted for relaying; from then on the request's deadline bounds it.

--- a/request/proxier/plain.go
+++ b/request/proxier/plain.go
@@ -135,19 +135,22 @@
 
 // sendHop sends a request to one upstream, reads its response and records the outcome
 // in the ejector. If the request can be retried elsewhere, the hop may use only
-// hopTimeFraction of the remaining time.
+// hopTimeFraction of the remaining time. The rest of a response that is relayed in
+// parts may use all of it, as no other server can be tried by then.
 func (p *Proxier) sendHop(ctx context.Context, rs *requestState, upstream registrar.Entry, peers []registrar.Entry, canRetryElsewhere bool) (r hopResult) {
 	done := p.Ejector.Begin(upstream.Name, peers)
-	hopCtx, cancel := context.WithCancel(ctx)
+	hopCtx, cancel := context.WithCancelCause(ctx)
+	endHop := func() { cancel(nil) }
 	if canRetryElsewhere {
 		left := rs.deadline.Sub(p.Clock.Now())
-		hopCtx, cancel = context.WithTimeout(ctx, time.Duration(hopTimeFraction*float64(left)))
+		hopTimer := p.Clock.AfterFunc(time.Duration(hopTimeFraction*float64(left)), func() { cancel(context.DeadlineExceeded) })
+		defer hopTimer.Stop()
 	}
 	r = p.exchange(hopCtx, rs, upstream, Hop{Upstream: upstream, Stage: StagePlain})
 	if r.response == nil || !r.hasMore {
-		cancel()
+		endHop()
 	} else {
-		r.response.Body = &cancelOnClose{ReadCloser: r.response.Body, cancel: cancel}
+		r.response.Body = &cancelOnClose{ReadCloser: r.response.Body, cancel: endHop}
 	}
 	switch {
 	case r.incomplete && !errors.Is(ctx.Err(), context.Canceled):
@@ -169,7 +172,7 @@
 // cancelOnClose is a response body that cancels its context when it is closed.
 type cancelOnClose struct {
 	io.ReadCloser
-	cancel context.CancelFunc
+	cancel func()
 }
 
 // Close closes the body and cancels its context.
