Reject a prefill response that does not end

Callers could lose the result of a prefill: the first 256 KiB of the response were taken as the whole, so a response that went on with white space without end counted as a complete one, and its handle went to the decode engine. The engine that sent it counted as sound.

Ruled out: growing memory, as the read had its limit; what was missing was the check that the limit was not reached.

Change: a prefill response of maxBufferedBytes or more is a failed prefill. The engine is reported and avoided, its connection is closed, and another pair is tried.

--- a/request/proxier/endless_test.go
+++ b/request/proxier/endless_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"sassafraspass.dev/sassafraspass/request/placer"
 	"sassafraspass.dev/sassafraspass/version/parser"
 )
 
@@ -106,3 +107,20 @@
 		})
 	}
 }
+
+// Guards against a prefill whose response does not end and is taken as complete once
+// its size limit is reached.
+func TestPrefillWithEndlessBodyIsFailedAndAnotherPairIsTried(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, parser.Route{Kind: parser.RouteStream, MaxAttempts: 1}, "endless", "pre", "dec")
+	f.grants = []placer.Grant{{Prefill: "endless", Decode: "dec"}, {Prefill: "pre", Decode: "dec"}}
+	closed := make(chan struct{}, 1)
+	f.upstreams["endless"].respond = flood("handle", " ", 0, closed)
+	w, refusal, err := f.serve(context.Background(), 5*time.Second)
+	is.NoErr(err)
+	is.True(refusal == nil)
+	is.Equal(w.Body.String(), completeStream())
+	is.True(slices.Contains(f.steps(), placer.StepPrefillFailed))
+	is.Equal(f.upstreams["dec"].runCount(), 1)
+	awaitSignal(t, closed)
+}
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -48,6 +48,10 @@
 // event.
 var errIncompleteStream = errors.New("the stream ended before its first event or inside an event")
 
+// errResponseTooLarge means that the response of an engine has maxBufferedBytes or
+// more.
+var errResponseTooLarge = errors.New("the response exceeds the size limit")
+
 // streamState is the state of a stream in progress, which may be served by several
 // engine pairs in turn.
 type streamState struct {
@@ -200,6 +204,9 @@
 	if r.response.StatusCode != http.StatusOK {
 		return handle, fmt.Errorf("unexpected status %d", r.response.StatusCode)
 	}
+	if r.hasMore {
+		return handle, errResponseTooLarge
+	}
 	id, err := p.Protocol.DecodeHandle(r.body)
 	if err != nil {
 		return handle, err
