Refuse a stream as unknown if its engine's failure does not end

Callers of a stream saw their connection aborted without a response when the decode engine responded with an error status and a body without end, after the whole time of the request, and the engine kept its rank: the first 256 KiB and then all that followed were relayed until the deadline.

Ruled out: an answer that looks complete and one that is marked as not run; the connection was aborted.

Change: an error response of maxBufferedBytes or more, or one that breaks off, is not relayed. The caller gets 502, or 504 at the deadline, both as unknown. Unless the deadline came first, the engine is reported as failed; its connection is closed.

--- a/request/proxier/endless_test.go
+++ b/request/proxier/endless_test.go
@@ -124,3 +124,40 @@
 	is.Equal(f.upstreams["dec"].runCount(), 1)
 	awaitSignal(t, closed)
 }
+
+// Guards against a failure response without end that is relayed until the deadline,
+// and whose engine keeps its rank.
+func TestEngineFailureWithEndlessBodyIsRefusedAsUnknown(t *testing.T) {
+	tests := []struct {
+		name   string
+		pause  time.Duration
+		status int
+	}{
+		{"fast", 0, http.StatusBadGateway},
+		{"slow", floodPause, http.StatusGatewayTimeout},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, parser.Route{Kind: parser.RouteStream, MaxAttempts: 1}, "pre", "dec-1", "dec-2")
+			f.grants = slices.Clone(twoGrants)
+			closed := make(chan struct{}, 1)
+			endless := flood("", "x", test.pause, closed)
+			f.upstreams["dec-1"].respond = func(w http.ResponseWriter, r *http.Request) {
+				w.WriteHeader(http.StatusInternalServerError)
+				endless(w, r)
+			}
+			w, refusal, err := f.serve(context.Background(), time.Second)
+			is.NoErr(err)
+			is.True(refusal != nil)
+			is.Equal(refusal.Status, test.status)
+			is.True(!refusal.NotRun)
+			is.Equal(w.Body.Len(), 0)
+			is.Equal(f.upstreams["dec-2"].runCount(), 0)
+			if test.pause == 0 {
+				is.True(slices.Contains(f.steps(), placer.StepDecodeFailed))
+			}
+			awaitSignal(t, closed)
+		})
+	}
+}
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -244,7 +244,8 @@
 	ss.mayHaveRun = true
 	ss.decodeExecutions++
 	if response.StatusCode/statusClassDivisor != statusClassSuccess {
-		return nil, false, p.relayFailure(ctx, ss, engine, response, report)
+		refusal, err = p.relayFailure(ctx, ss, engine, response, report)
+		return refusal, false, err
 	}
 	err = p.relayEvents(ctx, ss, response, report)
 	if err == nil {
@@ -287,14 +288,19 @@
 	return p.noResponseRefusal(ctx, ss.requestState, refuser.QueueFull, "the decode engine is full"), true, nil
 }
 
-// relayFailure relays the error response of an engine that executed the request.
-func (p *Proxier) relayFailure(ctx context.Context, ss *streamState, engine registrar.Entry, response *exchanger.Response, report *placer.Report) error {
+// relayFailure relays the error response of an engine that executed the request. It
+// returns a refusal if the response is not complete or too large.
+func (p *Proxier) relayFailure(ctx context.Context, ss *streamState, engine registrar.Entry, response *exchanger.Response, report *placer.Report) (*refuser.Refusal, error) {
 	body, hasMore, err := readBodyPrefix(response.Body, maxBufferedBytes)
+	if err == nil && hasMore {
+		err = errResponseTooLarge
+	}
 	if err != nil {
+		p.Log.Info("A decode engine's error response is incomplete.", "id", ss.req.ID, "upstream", engine.Name, "status", response.StatusCode, "err", err)
 		p.recordDecodeFailure(ctx, ss, engine, report)
-		return fmt.Errorf("%w: %w", ErrResponseTruncated, err)
+		return p.noResponseRefusal(ctx, ss.requestState, refuser.UpstreamFailed, "the decode engine failed"), nil
 	}
-	return p.relayResponse(ctx, ss.requestState, hopResult{response: response, body: body, hasMore: hasMore})
+	return nil, p.relayResponse(ctx, ss.requestState, hopResult{response: response, body: body})
 }
 
 // freeKVHandle frees a KV handle that no decode engine will fetch.
