Do not end a stream with the failure of the engine that resumes it

Callers of a stream that had broken off got the body of an error response after the last event, and the stream ended as if it were complete: the error response of the second decode engine was relayed although the header and events of the first were already sent.

Ruled out: the status, which net/http ignores once a header is sent; only the body reached the caller.

Change: an error response to a resumed stream is a failure to resume. The engine is reported and avoided, another pair is tried if the route still allows an attempt, and otherwise the caller's connection is aborted.

TestFailureToResumeAStreamIsNotRelayedAsItsEnd failed before: Serve returned no error, so the response was finished as complete.

--- a/request/proxier/endless_test.go
+++ b/request/proxier/endless_test.go
@@ -161,3 +161,19 @@
 		})
 	}
 }
+
+// Guards against a failure response of the engine that resumes a stream: its body was
+// appended to the events, and the stream looked complete.
+func TestFailureToResumeAStreamIsNotRelayedAsItsEnd(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, parser.Route{Kind: parser.RouteStream, MaxAttempts: 2, AllowStreamFailover: true}, "pre", "dec-1", "dec-2")
+	f.grants = slices.Clone(twoGrants)
+	f.upstreams["dec-1"].abortAfter = 3
+	f.upstreams["dec-2"].respond = func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write([]byte("the engine failed"))
+	}
+	w, _, err := f.serve(context.Background(), 5*time.Second)
+	is.True(errors.Is(err, ErrResponseTruncated))
+	is.True(!strings.Contains(w.Body.String(), "failed"))
+}
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -243,11 +243,16 @@
 	}
 	ss.mayHaveRun = true
 	ss.decodeExecutions++
-	if response.StatusCode/statusClassDivisor != statusClassSuccess {
+	isSuccess := response.StatusCode/statusClassDivisor == statusClassSuccess
+	if !isSuccess && !ss.w.headerSent {
 		refusal, err = p.relayFailure(ctx, ss, engine, response, report)
 		return refusal, false, err
 	}
-	err = p.relayEvents(ctx, ss, response, report)
+	if isSuccess {
+		err = p.relayEvents(ctx, ss, response, report)
+	} else {
+		err = fmt.Errorf("cannot resume: status %d", response.StatusCode)
+	}
 	if err == nil {
 		return nil, false, nil
 	}
