Break off a stream that sends no events

It was also reported as the first event, which resets the failures of the engine.

Ruled out: an event without end, which had a limit, and the search for the end of an event, which was repeated over all pending bytes after each read; it is now continued where the last one ended.

Change: only a block with an id or data counts as an event. A stream with more than maxEventBytes after its last event has broken off: its engine is reported as failed and its connection closed, and the stream is resumed where the route allows it; otherwise the caller's connection is aborted. Comments are relayed as before.

Before, TestStreamWithoutCompleteEventsIsBrokenOff failed for blank lines, comments and fields without data (no error at the end of 3 s where the stream may not be resumed), and TestStreamThatEndsWithoutAnEventIsBrokenOff failed in both cases (no error).

--- a/request/proxier/endless_test.go
+++ b/request/proxier/endless_test.go
@@ -177,3 +177,80 @@
 	is.True(errors.Is(err, ErrResponseTruncated))
 	is.True(!strings.Contains(w.Body.String(), "failed"))
 }
+
+// Guards against a stream without complete events that fills the memory or lasts until
+// the deadline: the stream must break off, and be resumed where its route allows.
+func TestStreamWithoutCompleteEventsIsBrokenOff(t *testing.T) {
+	const firstEvents = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+	tests := []struct {
+		name string
+		unit string
+	}{
+		{"an event without end", "data: x"},
+		{"blank lines", "\n"},
+		{"comments", ": x\n\n"},
+		{"fields without data", "event: x\n\n"},
+		{"carriage returns", "\r\n\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for _, resumes := range []bool{true, false} {
+				is := is.New(t)
+				f := newFixture(t, parser.Route{Kind: parser.RouteStream, MaxAttempts: 2, AllowStreamFailover: resumes}, "pre", "dec-1", "dec-2")
+				f.grants = slices.Clone(twoGrants)
+				closed := make(chan struct{}, 1)
+				f.upstreams["dec-1"].respond = flood(firstEvents, test.unit, 0, closed)
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+				defer cancel()
+				w, refusal, err := f.serve(ctx, 5*time.Second)
+				is.True(refusal == nil)
+				is.Equal(errors.Is(err, ErrResponseTruncated), !resumes)
+				is.NoErr(ctx.Err())
+				is.True(w.Body.Len() <= 2*maxEventBytes)
+				is.True(slices.Contains(f.steps(), placer.StepDecodeFailed))
+				is.Equal(strings.HasSuffix(w.Body.String(), "id: 6\ndata: 6\n\n"), resumes)
+				awaitSignal(t, closed)
+			}
+		})
+	}
+}
+
+// Guards against bytes without an event that count as the first event of a stream, so
+// that a stream without any event looks complete.
+func TestStreamThatEndsWithoutAnEventIsBrokenOff(t *testing.T) {
+	tests := []struct {
+		name string
+		body string
+	}{
+		{"blank lines", "\n\n\n\n"},
+		{"a comment", ": x\n\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, parser.Route{Kind: parser.RouteStream, MaxAttempts: 1}, "pre", "dec-1")
+			f.grants = slices.Clone(twoGrants[:1])
+			f.upstreams["dec-1"].respond = func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(test.body)) }
+			_, _, err := f.serve(context.Background(), time.Second)
+			is.True(errors.Is(err, ErrResponseTruncated))
+			is.True(!slices.Contains(f.steps(), placer.StepStarted))
+		})
+	}
+}
+
+// An event of the largest size must still pass, in parts of any size.
+func TestLongEventsWithinTheLimitAreRelayed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, parser.Route{Kind: parser.RouteStream, MaxAttempts: 1}, "pre", "dec-1")
+	f.grants = slices.Clone(twoGrants[:1])
+	event := "id: 1\ndata: " + strings.Repeat("x", maxEventBytes*3/4) + "\n\n"
+	f.upstreams["dec-1"].respond = func(w http.ResponseWriter, _ *http.Request) {
+		for range 4 {
+			_, _ = w.Write([]byte(": comment\n\n" + event))
+		}
+	}
+	w, refusal, err := f.serve(context.Background(), 5*time.Second)
+	is.NoErr(err)
+	is.True(refusal == nil)
+	is.True(w.Body.String() == strings.Repeat(": comment\n\n"+event, 4))
+}
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -33,7 +33,8 @@
 	freeKVHandleTimeout  = time.Second
 	maxFreeResponseBytes = 64 << 10
 	readBufferBytes      = 8 << 10
-	maxEventBytes        = 1 << 20
+	// maxEventBytes limits the size of an event, and the bytes between two events.
+	maxEventBytes = 1 << 20
 	// minPrefillTime is the time that the wait for engines must leave for the
 	// prefill.
 	minPrefillTime = 300 * time.Millisecond
@@ -52,6 +53,18 @@
 // more.
 var errResponseTooLarge = errors.New("the response exceeds the size limit")
 
+// errEventTooLarge means that a stream has more than maxEventBytes without a complete
+// event.
+var errEventTooLarge = errors.New("the stream has no complete event within the size limit")
+
+// eventEnd ends each block of a stream. A block is an event if it has one of the
+// fields id and data.
+var (
+	eventEnd  = []byte("\n\n")
+	idField   = []byte("id:")
+	dataField = []byte("data")
+)
+
 // streamState is the state of a stream in progress, which may be served by several
 // engine pairs in turn.
 type streamState struct {
@@ -333,47 +346,90 @@
 	}
 	var firstEventAt time.Time
 	engineEvents := 0
-	var pending []byte
+	// eventlessBytes counts the bytes that were relayed after the last event.
+	eventlessBytes := 0
+	var splitter blockSplitter
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, readErr := response.Body.Read(buf)
-		pending = append(pending, buf[:n]...)
-		boundary := bytes.LastIndex(pending, []byte("\n\n"))
-		if boundary >= 0 {
-			events := pending[:boundary+2]
-			if firstEventAt.IsZero() {
-				firstEventAt = p.recordStreamStart(ss)
-			}
-			engineEvents += ss.recordEvents(events)
-			err := ss.w.write(events)
-			if err == nil {
-				err = ss.w.flush()
-			}
-			if err != nil {
-				return err
-			}
-			pending = append(pending[:0], pending[boundary+2:]...)
+		blocks := splitter.add(buf[:n])
+		count, trailingBytes := countEvents(blocks)
+		if count > 0 && engineEvents == 0 {
+			firstEventAt = p.recordStreamStart(ss)
 		}
-		if len(pending) > maxEventBytes {
-			return errors.New("an event exceeds the size limit")
+		if count > 0 {
+			eventlessBytes = 0
 		}
-		if errors.Is(readErr, io.EOF) && len(pending) == 0 && engineEvents > 0 {
+		engineEvents += count
+		eventlessBytes += trailingBytes
+		err := ss.relayBlocks(blocks, count)
+		if err != nil {
+			return err
+		}
+		switch {
+		case eventlessBytes+splitter.pendingBytes() > maxEventBytes:
+			return errEventTooLarge
+		case errors.Is(readErr, io.EOF) && splitter.pendingBytes() == 0 && engineEvents > 0:
 			report.Output = identifier.Tokens(engineEvents) * ss.service.Engine.TokensPerEvent
 			report.Elapsed = p.Clock.Since(firstEventAt)
 			return nil
-		}
-		if errors.Is(readErr, io.EOF) {
+		case errors.Is(readErr, io.EOF):
 			return errIncompleteStream
-		}
-		if readErr != nil {
+		case readErr != nil:
 			return readErr
-		}
-		if ctx.Err() != nil {
+		case ctx.Err() != nil:
 			return ctx.Err()
 		}
 	}
 }
 
+// blockSplitter splits the bytes of a stream after each eventEnd.
+type blockSplitter struct {
+	buf []byte
+	// complete is the length of the complete blocks at the start of buf.
+	complete int
+}
+
+// add returns the blocks that the received bytes complete. They are valid until the
+// next call.
+func (s *blockSplitter) add(received []byte) (blocks []byte) {
+	s.buf = append(s.buf[:0], s.buf[s.complete:]...)
+	searchFrom := max(0, len(s.buf)-len(eventEnd)+1)
+	s.buf = append(s.buf, received...)
+	s.complete = 0
+	boundary := bytes.LastIndex(s.buf[searchFrom:], eventEnd)
+	if boundary >= 0 {
+		s.complete = searchFrom + boundary + len(eventEnd)
+	}
+	return s.buf[:s.complete]
+}
+
+// pendingBytes returns the size of the last, incomplete block.
+func (s *blockSplitter) pendingBytes() int { return len(s.buf) - s.complete }
+
+// countEvents returns the number of events among complete blocks, and the size of the
+// blocks after the last event.
+func countEvents(blocks []byte) (count, trailingBytes int) {
+	for block := range bytes.SplitAfterSeq(blocks, eventEnd) {
+		trailingBytes += len(block)
+		if isEvent(block) {
+			count++
+			trailingBytes = 0
+		}
+	}
+	return count, trailingBytes
+}
+
+// isEvent reports whether a block has an id or data. Others are comments.
+func isEvent(block []byte) bool {
+	for line := range bytes.SplitSeq(block, []byte("\n")) {
+		if bytes.HasPrefix(line, idField) || bytes.HasPrefix(line, dataField) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordStreamStart records the first event of a decode engine and returns its
 // time.
 func (p *Proxier) recordStreamStart(ss *streamState) time.Time {
@@ -385,16 +441,22 @@
 	return now
 }
 
-// recordEvents counts complete events, stores the id of the last one, and returns
-// the count.
-func (ss *streamState) recordEvents(events []byte) int {
-	count := bytes.Count(events, []byte("\n\n"))
-	ss.eventCount += count
-	for _, line := range bytes.Split(events, []byte("\n")) {
-		id, ok := bytes.CutPrefix(line, []byte("id:"))
+// relayBlocks sends complete blocks to the caller. It counts their events and stores
+// the id of the last one.
+func (ss *streamState) relayBlocks(blocks []byte, events int) error {
+	if len(blocks) == 0 {
+		return nil
+	}
+	ss.eventCount += events
+	for line := range bytes.SplitSeq(blocks, []byte("\n")) {
+		id, ok := bytes.CutPrefix(line, idField)
 		if ok {
 			ss.lastEventID = string(bytes.TrimSpace(id))
 		}
 	}
-	return count
+	err := ss.w.write(blocks)
+	if err != nil {
+		return err
+	}
+	return ss.w.flush()
 }
