Keep at most 64 KiB of an incomplete event

A daemon kept up to 1 MiB of an event that did not end, for each stream. An engine that sends such events on its streams would fill a small VM, which has 112 MB for everything.

Ruled out: a limit on the streams of a daemon, as they are bounded by the slots of the engines and sound ones need little.

Change: maxEventBytes is 64 KiB. A longer event breaks the stream off.

TestEndlessEventIsKeptOnlyUpToTheLimit, whose bound is 100 KiB, failed before ("not true: body.readBytes <= budget").

--- a/request/proxier/endless_test.go
+++ b/request/proxier/endless_test.go
@@ -1,9 +1,11 @@
 package proxier
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
@@ -11,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"sassafraspass.dev/sassafraspass/connection/exchanger"
 	"sassafraspass.dev/sassafraspass/request/placer"
 	"sassafraspass.dev/sassafraspass/version/parser"
 )
@@ -254,3 +257,31 @@
 	is.True(refusal == nil)
 	is.True(w.Body.String() == strings.Repeat(": comment\n\n"+event, 4))
 }
+
+// endlessBody is a response body without end that counts the bytes read.
+type endlessBody struct {
+	readBytes int
+}
+
+// Read reads bytes of an event.
+func (b *endlessBody) Read(p []byte) (int, error) {
+	b.readBytes += len(p)
+	return copy(p, bytes.Repeat([]byte("x"), len(p))), nil
+}
+
+// Close does nothing.
+func (b *endlessBody) Close() error { return nil }
+
+// Guards against endless events of a few hundred streams that fill the memory of a
+// small VM.
+func TestEndlessEventIsKeptOnlyUpToTheLimit(t *testing.T) {
+	is := is.New(t)
+	const budget = 100 << 10
+	f := newFixture(t, parser.Route{Kind: parser.RouteStream})
+	body := &endlessBody{}
+	response := &exchanger.Response{Response: &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: body}}
+	ss := &streamState{requestState: &requestState{w: newResponseWriter(httptest.NewRecorder())}}
+	err := f.relayEvents(context.Background(), ss, response, &placer.Report{})
+	is.True(err != nil)
+	is.True(body.readBytes <= budget)
+}
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -34,7 +34,7 @@
 	maxFreeResponseBytes = 64 << 10
 	readBufferBytes      = 8 << 10
 	// maxEventBytes limits the size of an event, and the bytes between two events.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 64 << 10
 	// minPrefillTime is the time that the wait for engines must leave for the
 	// prefill.
 	minPrefillTime = 300 * time.Millisecond
