Count a server that sends a head until the deadline as failed

A server that sent interim responses or header lines slowly, and no response until the deadline, got further requests as if nothing had happened: at the deadline every request without a response counted as abandoned, which says nothing about its server.

Ruled out: what callers see; they got 504 as unknown, and an idempotent request was answered by another server in its time.

Change: the error of an exchange tells whether a part of a response arrived. If so, the server counts as failed at the deadline. A server that sends nothing counts as before, as its silence may be due to a short deadline.

The case "slow" of TestServerWithEndlessHeadCountsAsFailed failed before ("[b a] != [a]", the names that come last in the order of servers).

--- a/connection/exchanger/conn.go
+++ b/connection/exchanger/conn.go
@@ -77,6 +77,9 @@
 
 func (l *headLimit) stop() { l.active = false }
 
+// hasRead reports whether any byte was read since the limit was started.
+func (l *headLimit) hasRead() bool { return l.active && l.bytesLeft < maxHeadBytes }
+
 // Read reads from the connection. It fails with ErrHeadTooLarge beyond the limit.
 func (l *headLimit) Read(p []byte) (n int, err error) {
 	if !l.active {
--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -82,7 +82,9 @@
 type SendError struct {
 	// MaybeSent is true if any byte of the request may have been sent.
 	MaybeSent bool
-	Err       error
+	// Incomplete is true if a part of a response arrived.
+	Incomplete bool
+	Err        error
 }
 
 // Error returns the text of the underlying error.
@@ -98,6 +100,13 @@
 	return err != nil && (!errors.As(err, &sendErr) || sendErr.MaybeSent)
 }
 
+// IsIncomplete reports whether a part of the response arrived before an exchange
+// failed with err.
+func IsIncomplete(err error) bool {
+	var sendErr *SendError
+	return errors.As(err, &sendErr) && sendErr.Incomplete
+}
+
 // Exchanger sends requests to upstreams and keeps a pool of idle connections to
 // them. It is safe for concurrent use.
 type Exchanger struct {
@@ -160,7 +169,7 @@
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
-		return nil, &SendError{MaybeSent: c.bytesWritten.Load() > 0, Err: fmt.Errorf("call %s: %w", address, err)}
+		return nil, &SendError{MaybeSent: c.bytesWritten.Load() > 0, Incomplete: c.limit.hasRead(), Err: fmt.Errorf("call %s: %w", address, err)}
 	}
 	response := &Response{Response: resp, Reused: c.requestCount > 1}
 	resp.Body = &responseBody{ReadCloser: resp.Body, exchanger: x, conn: c, stop: stop, ctx: ctx, idleTimeout: idleTimeout(resp)}
--- a/request/proxier/endless_test.go
+++ b/request/proxier/endless_test.go
@@ -285,3 +285,67 @@
 	is.True(err != nil)
 	is.True(body.readBytes <= budget)
 }
+
+// floodHead returns a handler that responds with a head without end. It pauses after
+// each unit, or after none if pause is 0.
+func floodHead(unit string, pause time.Duration, closed chan struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		for sent := 0; err == nil && sent < floodBytes; sent += len(unit) {
+			_, err = conn.Write([]byte(unit))
+			time.Sleep(pause)
+		}
+		_, _ = conn.Read(make([]byte, 1))
+		select {
+		case closed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Guards against a response head without end that counts as no fault of its server,
+// that ends a non-idempotent request as not run, or that leaves an idempotent one no
+// time for another server.
+func TestServerWithEndlessHeadCountsAsFailed(t *testing.T) {
+	tests := []struct {
+		name   string
+		kind   parser.RouteKind
+		unit   string
+		pause  time.Duration
+		status int
+	}{
+		{"fast", parser.RouteNonIdempotent, "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("a", 1<<20), 0, http.StatusBadGateway},
+		{"slow", parser.RouteNonIdempotent, "HTTP/1.1 103 Early Hints\r\n\r\n", floodPause, http.StatusGatewayTimeout},
+		{"fast, idempotent", parser.RouteIdempotent, "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("a", 1<<20), 0, http.StatusOK},
+		{"slow, idempotent", parser.RouteIdempotent, "HTTP/1.1 103 Early Hints\r\n\r\n", floodPause, http.StatusOK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, parser.Route{Kind: test.kind, MaxAttempts: 2}, "a", "b")
+			closed := make(chan struct{}, 1)
+			f.upstreams["a"].respond = floodHead(test.unit, test.pause, closed)
+			const failures = 2
+			for tries := 0; f.upstreams["a"].runCount() < failures && tries < 200; tries++ {
+				runs := f.upstreams["a"].runCount()
+				w, refusal, err := f.serve(context.Background(), 300*time.Millisecond)
+				if f.upstreams["a"].runCount() == runs {
+					continue
+				}
+				is.NoErr(err)
+				if refusal != nil {
+					w.Code = refusal.Status
+					is.True(!refusal.NotRun)
+				}
+				is.Equal(w.Code, test.status)
+				awaitSignal(t, closed)
+			}
+			is.Equal(f.upstreams["a"].runCount(), failures)
+			is.Equal(lastInOrder(f), []string{"a"})
+		})
+	}
+}
--- a/request/proxier/plain.go
+++ b/request/proxier/plain.go
@@ -192,6 +192,7 @@
 	if err != nil {
 		r.err = err
 		r.notRun = !exchanger.MaybeSent(err)
+		r.incomplete = exchanger.IsIncomplete(err)
 		rs.mayHaveRun = rs.mayHaveRun || !r.notRun
 		return r
 	}
