Do not take an endless response to an order as complete

The holder of a lease took the first 64 KiB of an engine's response as the whole: a state that went on with white space without end led to an order, and an order counted as accepted or as refused by the status alone. A refused order that the engine may yet carry out lets its old role get requests.

Ruled out: memory and time, which the read limit and the timeout of 500 ms bound.

Change: a response longer than maxResponseBytes is an error. Without a state, no order is sent, and the service's engines are left alone for failureBackoff; an order whose response does not end is unknown.

TestEndlessResponseOfAnEngineIsNotTakenAsComplete failed before in all three cases (no error for the state and the accepted order, the old role kept for the refused order); it passed 2 of 2 runs with -race.

--- a/process/rebalancer/rebalancer.go
+++ b/process/rebalancer/rebalancer.go
@@ -38,10 +38,14 @@
 	callTimeout  = 500 * time.Millisecond
 	// failureBackoff is how long a service's engines get no further order after
 	// one that failed.
-	failureBackoff   = 4 * time.Second
+	failureBackoff = 4 * time.Second
+	// maxResponseBytes limits the body of an engine's response. A longer one does not
+	// count as a response.
 	maxResponseBytes = 64 << 10
 )
 
+var errResponseTooLarge = errors.New("the response exceeds the size limit")
+
 // MaxSendDelay is how long after a holder acquired the lease it may still send an
 // order, as its calls time out by then. A new holder waits for it, in addition to
 // the configured wait, before its first order.
@@ -245,6 +249,9 @@
 		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err = io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errResponseTooLarge
+	}
 	return response.StatusCode, body, err
 }
--- a/process/rebalancer/rebalancer_test.go
+++ b/process/rebalancer/rebalancer_test.go
@@ -34,6 +34,10 @@
 	// anything is sent.
 	dropsResponses bool
 	isUnreachable  bool
+	// statePadding and orderPadding follow the body of the response to a state request
+	// or an order.
+	statePadding string
+	orderPadding string
 }
 
 func (e *fakeEngine) exchange(_ context.Context, _ identifier.Address, m exchanger.Request) (*exchanger.Response, error) {
@@ -42,7 +46,7 @@
 	}
 	if m.Method == http.MethodGet {
 		body, err := json.Marshal(e.state)
-		return newResponse(http.StatusOK, body), err
+		return newResponse(http.StatusOK, append(body, e.statePadding...)), err
 	}
 	var order Order
 	err := json.Unmarshal(m.Body, &order)
@@ -53,7 +57,7 @@
 	if e.dropsResponses {
 		return nil, &exchanger.SendError{MaybeSent: true, Err: errors.New("reset")}
 	}
-	return newResponse(e.status, nil), nil
+	return newResponse(e.status, []byte(e.orderPadding)), nil
 }
 
 func newResponse(status int, body []byte) *exchanger.Response {
@@ -185,6 +189,35 @@
 	}
 }
 
+// Guards against a response without end that is taken as complete once its size limit
+// is reached: an order must end as unknown, and no order may follow such a state.
+func TestEndlessResponseOfAnEngineIsNotTakenAsComplete(t *testing.T) {
+	endless := strings.Repeat(" ", maxResponseBytes+1)
+	cases := []struct {
+		name   string
+		engine fakeEngine
+		// sent is the number of orders that the engine gets; keepsRole says that it
+		// still takes requests in its old role.
+		sent      int
+		keepsRole bool
+	}{
+		{"state", fakeEngine{state: EngineState{Role: parser.RolePrefill}, status: http.StatusAccepted, statePadding: endless}, 0, true},
+		{"accepted order", fakeEngine{state: EngineState{Role: parser.RolePrefill}, status: http.StatusAccepted, orderPadding: endless}, 1, false},
+		{"refused order", fakeEngine{state: EngineState{Role: parser.RolePrefill}, status: http.StatusConflict, orderPadding: endless}, 1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r, p := newRebalancer(&c.engine, &claimStore{})
+			err := r.adjust(context.Background(), service)
+			is.True(err != nil)
+			is.Equal(len(c.engine.orders), c.sent)
+			_, wanted := p.RecommendRoleChange(service)
+			is.Equal(wanted, c.keepsRole)
+		})
+	}
+}
+
 func TestFencedHolderClaimsAgainAndWaits(t *testing.T) {
 	is := is.New(t)
 	e := &fakeEngine{state: EngineState{Role: parser.RolePrefill}, status: http.StatusPreconditionFailed}
