Do not take an endless response of an engine as complete

A coordinator took the first 16 MiB of an engine's response as the whole, for each of the engines that it polls twice a second, and kept and logged up to 16 MiB of an error response as the text of an error. An engine whose error response had no end counted as one that refuses, so it was not ejected.

Ruled out: time; a poll has a timeout of 1 s and a completion the deadline of its caller.

Change: a response has 64 KiB at most, a batch of cache events 4 MiB. A longer one is an error that is no *StatusError, so that the engine is reported as failed, and its connection is closed. The text of an error status is cut at 4 KiB.

TestEndlessResponseOfAnEngineIsAnError failed before for each of the four calls (no error), TestEndlessErrorResponseIsNoStatus for each of five (a *StatusError), and TestTextOfAnErrorStatusIsCut with "8192 != 4096". They passed 3 of 3 runs with -race.

--- /dev/null
+++ b/connection/dispatcher/endless_test.go
@@ -0,0 +1,139 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafraspass.dev/sassafraspass/identifier"
+)
+
+const (
+	// floodBytes is how much an endless response sends at most, so that a client
+	// without a limit fails its test and not the machine.
+	floodBytes = 32 << 20
+	// floodTimeout ends the calls of a client without a limit.
+	floodTimeout = 2 * time.Second
+)
+
+// startFlood starts an engine that responds to each call with a status, start and then
+// unit without end. It reports each connection that the client has closed.
+func startFlood(t *testing.T, status int, start, unit string) (address identifier.Address, closed chan struct{}) {
+	t.Helper()
+	closed = make(chan struct{}, 1)
+	block := []byte(strings.Repeat(unit, 1+(64<<10)/len(unit)))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(status)
+		_, err := w.Write([]byte(start))
+		for sent := 0; err == nil && sent < floodBytes; sent += len(block) {
+			_, err = w.Write(block)
+		}
+		<-r.Context().Done()
+		select {
+		case closed <- struct{}{}:
+		default:
+		}
+	}))
+	t.Cleanup(server.Close)
+	return identifier.Address(server.Listener.Addr().String()), closed
+}
+
+func awaitSignal(t *testing.T, signal <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-signal:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection is still open")
+	}
+}
+
+type engineCall struct {
+	name     string
+	response string
+	call     func(ctx context.Context, e *EngineClient, address identifier.Address) error
+}
+
+// engineCalls lists the calls of an engine that return one value.
+var engineCalls = []engineCall{
+	{"prefill", `{"attempt":"a","handle":"h"}`, func(ctx context.Context, e *EngineClient, address identifier.Address) error {
+		_, err := e.Prefill(ctx, address, PrefillRequest{Attempt: "a"})
+		return err
+	}},
+	{"cancel", `{}`, func(ctx context.Context, e *EngineClient, address identifier.Address) error {
+		return e.Cancel(ctx, address, []identifier.AttemptID{"a"})
+	}},
+	{"load", `{}`, func(ctx context.Context, e *EngineClient, address identifier.Address) error {
+		_, err := e.FetchLoad(ctx, address)
+		return err
+	}},
+	{"cache events", `{}`, func(ctx context.Context, e *EngineClient, address identifier.Address) error {
+		_, err := e.FetchCacheEvents(ctx, address, 0)
+		return err
+	}},
+}
+
+// Guards against a response of an engine without end of which the first part is taken
+// as complete.
+func TestEndlessResponseOfAnEngineIsAnError(t *testing.T) {
+	for _, test := range engineCalls {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			address, closed := startFlood(t, http.StatusOK, test.response, " ")
+			client, cleanup := NewEngineClient()
+			defer cleanup()
+			ctx, cancel := context.WithTimeout(t.Context(), floodTimeout)
+			defer cancel()
+			is.True(test.call(ctx, client, address) != nil)
+			is.NoErr(ctx.Err())
+			awaitSignal(t, closed)
+		})
+	}
+}
+
+// Guards against an error response without end, which was kept and logged as the text
+// of an error, and whose engine counted as one that refuses and not as failed.
+func TestEndlessErrorResponseIsNoStatus(t *testing.T) {
+	calls := slices.Concat(engineCalls, []engineCall{{"decode", "", func(ctx context.Context, e *EngineClient, address identifier.Address) error {
+		_, err := e.Decode(ctx, address, DecodeRequest{Attempt: "a"})
+		return err
+	}}})
+	for _, test := range calls {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			address, closed := startFlood(t, http.StatusInternalServerError, "", "x")
+			client, cleanup := NewEngineClient()
+			defer cleanup()
+			ctx, cancel := context.WithTimeout(t.Context(), floodTimeout)
+			defer cancel()
+			err := test.call(ctx, client, address)
+			is.True(err != nil)
+			var statusErr *StatusError
+			is.True(!errors.As(err, &statusErr))
+			is.NoErr(ctx.Err())
+			awaitSignal(t, closed)
+		})
+	}
+}
+
+func TestTextOfAnErrorStatusIsCut(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(strings.Repeat("x", 2*maxDetailBytes)))
+	}))
+	defer server.Close()
+	client, cleanup := NewEngineClient()
+	defer cleanup()
+	_, err := client.FetchLoad(t.Context(), identifier.Address(server.Listener.Addr().String()))
+	var statusErr *StatusError
+	is.True(errors.As(err, &statusErr))
+	is.Equal(statusErr.Status, http.StatusServiceUnavailable)
+	is.Equal(len(statusErr.Detail), maxDetailBytes)
+}
--- a/connection/dispatcher/engine.go
+++ b/connection/dispatcher/engine.go
@@ -26,16 +26,23 @@
 	dialTimeout         = 2 * time.Second
 	idleConnTimeout     = 60 * time.Second
 	maxIdleConnsPerHost = 64
-	maxResponseBytes    = 16 << 20
-	maxFrameBytes       = 1 << 20
-	dataPrefix          = "data: "
-	contentTypeJSON     = "application/json"
-	headerContentType   = "Content-Type"
+	// maxResponseBytes limits the body of a response, and maxCacheEventsBytes that of a
+	// batch of cache events. A longer body is an error.
+	maxResponseBytes    = 64 << 10
+	maxCacheEventsBytes = 4 << 20
+	// maxDetailBytes limits the text of a StatusError.
+	maxDetailBytes    = 4 << 10
+	maxFrameBytes     = 1 << 20
+	dataPrefix        = "data: "
+	contentTypeJSON   = "application/json"
+	headerContentType = "Content-Type"
 )
 
 // ErrStreamTruncated is returned if a stream ends before its final frame.
 var ErrStreamTruncated = errors.New("the stream ended before its final frame")
 
+var errResponseTooLarge = errors.New("the response exceeds the size limit")
+
 // ErrUnknownAttempt is returned if the engine does not know the attempt.
 var ErrUnknownAttempt = errors.New("the engine does not know the attempt")
 
@@ -44,7 +51,7 @@
 type StatusError struct {
 	// Status is the HTTP status.
 	Status int
-	// Detail is the response body without surrounding white space.
+	// Detail is the start of the response body, without surrounding white space.
 	Detail string
 }
 
@@ -132,7 +139,7 @@
 // FetchLoad returns an engine's load report.
 func (e *EngineClient) FetchLoad(ctx context.Context, address identifier.Address) (load LoadReport, err error) {
 	defer annotator.Annotate(&err, "read load of %s", address)
-	err = e.get(ctx, address, PathLoad, &load)
+	err = e.get(ctx, address, PathLoad, &load, maxResponseBytes)
 	return load, err
 }
 
@@ -140,7 +147,7 @@
 // number.
 func (e *EngineClient) FetchCacheEvents(ctx context.Context, address identifier.Address, fromSequence int64) (events CacheEvents, err error) {
 	defer annotator.Annotate(&err, "read cache events of %s", address)
-	err = e.get(ctx, address, PathCacheEvents+"?from="+strconv.FormatInt(fromSequence, 10), &events)
+	err = e.get(ctx, address, PathCacheEvents+"?from="+strconv.FormatInt(fromSequence, 10), &events, maxCacheEventsBytes)
 	return events, err
 }
 
@@ -155,42 +162,61 @@
 	}
 	req.GetBody = nil
 	req.Header.Set(headerContentType, contentTypeJSON)
-	return e.do(req, out)
+	return e.do(req, out, maxResponseBytes)
 }
 
-func (e *EngineClient) get(ctx context.Context, address identifier.Address, path string, out any) error {
+func (e *EngineClient) get(ctx context.Context, address identifier.Address, path string, out any, maxBytes int64) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(address)+path, nil)
 	if err != nil {
 		return err
 	}
-	return e.do(req, out)
+	return e.do(req, out, maxBytes)
 }
 
-func (e *EngineClient) do(req *http.Request, out any) error {
+func (e *EngineClient) do(req *http.Request, out any, maxBytes int64) error {
 	resp, err := e.httpClient.Do(req)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if resp.StatusCode != http.StatusOK {
+		return readStatusError(resp)
+	}
+	raw, err := readBody(resp, maxBytes)
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode != http.StatusOK {
-		return &StatusError{Status: resp.StatusCode, Detail: strings.TrimSpace(string(raw))}
-	}
 	return json.Unmarshal(raw, out)
 }
 
+// readBody reads a response body to its end.
+func readBody(resp *http.Response, maxBytes int64) (raw []byte, err error) {
+	raw, err = io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
+	if err == nil && int64(len(raw)) > maxBytes {
+		err = errResponseTooLarge
+	}
+	return raw, err
+}
+
+// readStatusError returns a *StatusError for a response, or the error of reading its
+// body.
+func readStatusError(resp *http.Response) error {
+	raw, err := readBody(resp, maxResponseBytes)
+	if err != nil {
+		return err
+	}
+	return &StatusError{Status: resp.StatusCode, Detail: strings.TrimSpace(string(raw[:min(len(raw), maxDetailBytes)]))}
+}
+
 func (e *EngineClient) openStream(req *http.Request, attempt identifier.AttemptID) (*FrameStream, error) {
 	resp, err := e.httpClient.Do(req)
 	if err != nil {
 		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxFrameBytes))
+		err = readStatusError(resp)
 		_ = resp.Body.Close()
-		return nil, &StatusError{Status: resp.StatusCode, Detail: strings.TrimSpace(string(raw))}
+		return nil, err
 	}
 	return newStream(resp.Body, attempt), nil
 }
