Break off a stream without frames of its attempt

A completion waited for the next frame while its engine sent blank lines, comments or frames of other attempts without end, until no frame had come for 10 s, and kept up to 1 MiB of a line that did not end.

Ruled out: a stream that looks complete, which needs its final frame.

Change: a line has at most 64 KiB, and so have all lines between two frames of the attempt. Beyond that the stream is truncated: it is resumed or continued elsewhere as after any broken connection.

--- a/connection/dispatcher/endless_test.go
+++ b/connection/dispatcher/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -137,3 +138,48 @@
 	is.Equal(statusErr.Status, http.StatusServiceUnavailable)
 	is.Equal(len(statusErr.Detail), maxDetailBytes)
 }
+
+// endlessBody is the body of a stream that repeats a line up to floodBytes and counts
+// the bytes read.
+type endlessBody struct {
+	line      string
+	readBytes int
+}
+
+// Read reads whole lines.
+func (b *endlessBody) Read(p []byte) (int, error) {
+	if b.readBytes >= floodBytes {
+		return 0, io.EOF
+	}
+	n := copy(p, strings.Repeat(b.line, 1+len(p)/len(b.line)))
+	n -= n % len(b.line)
+	b.readBytes += n
+	return n, nil
+}
+
+// Close does nothing.
+func (b *endlessBody) Close() error { return nil }
+
+// Guards against a stream of bytes that hold no frame of the attempt: it lasted until
+// the timeout of a token.
+func TestStreamWithoutFramesIsTruncated(t *testing.T) {
+	const budget = 256 << 10 // bytes
+	tests := []struct {
+		name string
+		line string
+	}{
+		{"blank lines", "\n"},
+		{"comments", ": x\n"},
+		{"a line without end", "x"},
+		{"frames of other attempts", "data: {\"attempt\":\"other\",\"index\":0,\"text\":\"x\"}\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			body := &endlessBody{line: test.line}
+			_, err := newStream(body, "own").Next()
+			is.True(errors.Is(err, ErrStreamTruncated))
+			is.True(body.readBytes <= budget)
+		})
+	}
+}
--- a/connection/dispatcher/engine.go
+++ b/connection/dispatcher/engine.go
@@ -31,8 +31,11 @@
 	maxResponseBytes    = 64 << 10
 	maxCacheEventsBytes = 4 << 20
 	// maxDetailBytes limits the text of a StatusError.
-	maxDetailBytes    = 4 << 10
-	maxFrameBytes     = 1 << 20
+	maxDetailBytes = 4 << 10
+	// maxFrameBytes limits the size of a line of a stream, and maxSkippedBytes the bytes
+	// between two frames of the attempt.
+	maxFrameBytes     = 64 << 10
+	maxSkippedBytes   = 64 << 10
 	dataPrefix        = "data: "
 	contentTypeJSON   = "application/json"
 	headerContentType = "Content-Type"
@@ -238,11 +241,14 @@
 }
 
 // Next returns the next frame of the attempt, or an error that wraps
-// ErrStreamTruncated if the stream ends before its final frame. The final frame has
+// ErrStreamTruncated if the stream ends before its final frame or has too many bytes
+// without a frame of the attempt. The final frame has
 // Done set; Next must not be called after it.
 func (s *FrameStream) Next() (frame Frame, err error) {
-	for s.scanner.Scan() {
+	skippedBytes := 0
+	for skippedBytes <= maxSkippedBytes && s.scanner.Scan() {
 		line := s.scanner.Text()
+		skippedBytes += len(line) + 1
 		data, isData := strings.CutPrefix(line, dataPrefix)
 		if !isData {
 			continue
