Limit the heads of responses in the clients of engines and services

The clients of engines and of plain services accepted a response head of up to 10 MiB, the default of net/http, for each request.

Ruled out: a head without any limit; net/http has one, also for interim responses.

Change: maxHeadBytes is 64 KiB for both. A longer head is an error of a call that may have been sent, and closes the connection.

TestLongHeadIsAnError, with a header of 1 MiB, failed before (no error); it passed 3 of 3 runs with -race.

--- a/connection/dispatcher/endless_test.go
+++ b/connection/dispatcher/endless_test.go
@@ -183,3 +183,26 @@
 		})
 	}
 }
+
+// Guards against a response head of many megabytes.
+func TestLongHeadIsAnError(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("a", 1<<20))
+		_, _ = io.WriteString(w, "{}")
+	}))
+	defer server.Close()
+	address := identifier.Address(server.Listener.Addr().String())
+	engines, closeEngines := NewEngineClient()
+	defer closeEngines()
+	_, err := engines.FetchLoad(t.Context(), address)
+	is.True(err != nil)
+	services, closeServices := NewServiceClient()
+	defer closeServices()
+	var sendErr *SendError
+	for _, send := range []func(context.Context, identifier.Address, Call) (*http.Response, error){services.SendIdempotent, services.SendNonIdempotent} {
+		_, err = send(t.Context(), address, Call{Method: http.MethodGet, Path: "/"}) //nolint:bodyclose // an error
+		is.True(errors.As(err, &sendErr))
+		is.True(sendErr.MaybeSent)
+	}
+}
--- a/connection/dispatcher/engine.go
+++ b/connection/dispatcher/engine.go
@@ -26,6 +26,8 @@
 	dialTimeout         = 2 * time.Second
 	idleConnTimeout     = 60 * time.Second
 	maxIdleConnsPerHost = 64
+	// maxHeadBytes limits the head of a response.
+	maxHeadBytes = 64 << 10
 	// maxResponseBytes limits the body of a response, and maxCacheEventsBytes that of a
 	// batch of cache events. A longer body is an error.
 	maxResponseBytes    = 64 << 10
@@ -72,9 +74,10 @@
 // connections.
 func NewEngineClient() (e *EngineClient, cleanup func()) {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &EngineClient{httpClient: &http.Client{Transport: transport}}, transport.CloseIdleConnections
 }
--- a/connection/dispatcher/service.go
+++ b/connection/dispatcher/service.go
@@ -85,11 +85,12 @@
 
 func newServiceTransport(disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableKeepAlives:   disableKeepAlives,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives:      disableKeepAlives,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
