--- a/connection/exchanger/endless_test.go
+++ b/connection/exchanger/endless_test.go
@@ -122,3 +122,52 @@
 		})
 	}
 }
+
+// Guards against a chunked body whose framing does not end: neither its bytes nor its
+// end may reach the caller without limit.
+func TestEndlessFramingOfChunksIsAnError(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+	tests := []struct {
+		name  string
+		start string
+		unit  string
+	}{
+		{"extension", start + "4;", "a"},
+		{"extensions of small chunks", start, "1;" + strings.Repeat("a", 500) + "\r\nx\r\n"},
+		{"trailer line", start + "0\r\nX-Long: ", "a"},
+		{"trailer lines", start + "0\r\n", "X-Other: a\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			address, closed := startFlood(t, test.start, test.unit)
+			ctx, cancel := context.WithTimeout(context.Background(), floodDeadline)
+			defer cancel()
+			response, err := newExchanger(t).Exchange(ctx, address, newRequest("1"))
+			is.NoErr(err)
+			body, err := io.ReadAll(response.Body)
+			is.True(err != nil)
+			is.NoErr(ctx.Err()) // the body fails before the deadline
+			is.True(len(body) <= maxHeadBytes)
+			is.NoErr(response.Body.Close())
+			awaitSignal(t, closed)
+		})
+	}
+}
+
+// Guards against bytes after a complete response that are taken for the next one.
+func TestEndlessBytesAfterACompleteResponseAreNotRead(t *testing.T) {
+	is := is.New(t)
+	address, closed := startFlood(t, okResponse("1", "body"), okResponse("2", "other"))
+	x := newExchanger(t)
+	for range 5 {
+		response, err := x.Exchange(context.Background(), address, newRequest("1"))
+		is.NoErr(err)
+		is.Equal(readAll(is, response), "body")
+		response, err = x.Exchange(context.Background(), address, newRequest("1"))
+		is.NoErr(err)
+		is.True(!response.Reused)
+		is.Equal(readAll(is, response), "body")
+		awaitSignal(t, closed)
+	}
+}
