Close idle connections on which an upstream sends bytes

After a complete response with a Keep-Alive time, an upstream could go on sending on the idle connection: it stayed open, with its receive buffer full, for up to 20 s unless the next request took it.

Ruled out: a request that gets those bytes, as a connection with unread bytes is not reused, and bytes without end in the daemon's memory; only the kernel's buffer fills.

Change: PruneIdle, which runs twice a second, also closes idle connections that have unread bytes or that the upstream has closed.

--- a/connection/exchanger/endless_test.go
+++ b/connection/exchanger/endless_test.go
@@ -171,3 +171,29 @@
 		awaitSignal(t, closed)
 	}
 }
+
+// Guards against an idle connection that keeps the bytes its upstream sends unasked
+// until it expires.
+func TestIdleConnectionWithUnaskedBytesIsPruned(t *testing.T) {
+	is := is.New(t)
+	idle, closed := make(chan struct{}), make(chan struct{}, 1)
+	address := startServer(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+		_, _ = http.ReadRequest(in)
+		_, err := io.WriteString(conn, okResponse("1", "body"))
+		<-idle
+		for sent := 0; err == nil && sent < floodBytes; sent += bufferBytes {
+			_, err = conn.Write(make([]byte, bufferBytes))
+		}
+		closed <- struct{}{}
+	})
+	x := newExchanger(t)
+	response, err := x.Exchange(context.Background(), address, newRequest("1"))
+	is.NoErr(err)
+	is.Equal(readAll(is, response), "body")
+	close(idle)
+	for deadline := time.Now().Add(floodDeadline); len(closed) == 0 && time.Now().Before(deadline); {
+		x.PruneIdle()
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(len(closed), 1)
+}
--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -315,7 +315,8 @@
 	delete(x.idle, address)
 }
 
-// PruneIdle closes the connections whose idle timeout has expired.
+// PruneIdle closes the connections whose idle timeout has expired, and those that the
+// upstream has closed or sent anything on.
 func (x *Exchanger) PruneIdle() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -323,7 +324,7 @@
 	for address, conns := range x.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if now.Before(c.idleUntil) {
+			if now.Before(c.idleUntil) && c.isHealthy() {
 				kept = append(kept, c)
 				continue
 			}
