Do not take an endless response of the log service as complete

A daemon took the first 64 MiB of a response of the log service as the whole, so that white space without end after an empty batch counted as the end of the stream, and accepted a response head of up to 10 MiB.

Ruled out: time, as the tailer's reads have a timeout of 4 s.

Change: a response to a read has at most 64 MiB, as before, as it may hold 1,000 records of any size; any other has 4 MiB, and a head 64 KiB. A larger one is an error.

--- a/connection/appender/appender.go
+++ b/connection/appender/appender.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -29,7 +30,14 @@
 	StreamIdempotencyKeys identifier.StreamName = "once"
 )
 
-const maxResponseBytes = 64 << 20
+const (
+	// maxBatchBytes limits the response to a read, and maxResponseBytes any other.
+	maxBatchBytes    = 64 << 20
+	maxResponseBytes = 4 << 20
+	maxHeadBytes     = 64 << 10
+)
+
+var errResponseTooLarge = errors.New("the response exceeds the size limit")
 
 // Record is one record of a stream.
 type Record struct {
@@ -87,7 +95,7 @@
 // NewClient returns a client of the log service at an address, and a clean-up
 // function that closes its idle connections.
 func NewClient(address identifier.Address) (c *Client, cleanup func()) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 8}
+	transport := &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: maxHeadBytes}
 	c = &Client{baseURL: "http://" + string(address), httpClient: &http.Client{Transport: transport}}
 	return c, transport.CloseIdleConnections
 }
@@ -97,7 +105,7 @@
 func (c *Client) Append(ctx context.Context, stream identifier.StreamName, data []byte) (offset identifier.Offset, err error) {
 	var out AppendResponse
 	path := "/v1/streams/" + url.PathEscape(string(stream))
-	err = c.do(ctx, http.MethodPost, path, bytes.NewReader(data), &out)
+	err = c.do(ctx, http.MethodPost, path, bytes.NewReader(data), &out, maxResponseBytes)
 	return out.Offset, err
 }
 
@@ -109,18 +117,18 @@
 	query.Set("limit", strconv.Itoa(limit))
 	query.Set("wait", maxWait.String())
 	path := "/v1/streams/" + url.PathEscape(string(stream)) + "?" + query.Encode()
-	err = c.do(ctx, http.MethodGet, path, nil, &batch)
+	err = c.do(ctx, http.MethodGet, path, nil, &batch, maxBatchBytes)
 	return batch, err
 }
 
 // ListVMs returns the platform's list of VMs, which lags behind the actual state.
 func (c *Client) ListVMs(ctx context.Context) (vms []VM, err error) {
 	var list VMList
-	err = c.do(ctx, http.MethodGet, "/v1/vms", nil, &list)
+	err = c.do(ctx, http.MethodGet, "/v1/vms", nil, &list, maxResponseBytes)
 	return list.VMs, err
 }
 
-func (c *Client) do(ctx context.Context, method, path string, body io.Reader, out any) (err error) {
+func (c *Client) do(ctx context.Context, method, path string, body io.Reader, out any, maxBytes int64) (err error) {
 	defer annotator.Annotate(&err, "call the log service: %s %s", method, path)
 	req, err := http.NewRequestWithContext(ctx, method, c.baseURL+path, body)
 	if err != nil {
@@ -132,10 +140,13 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
 	if err != nil {
 		return err
 	}
+	if int64(len(raw)) > maxBytes {
+		return errResponseTooLarge
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d", resp.StatusCode)
 	}
