End a call to a peer whose response does not end

A daemon waited until the deadline of a call to a peer whose response had no end, and kept up to 64 MiB of it: the limit of Connect does not cover error responses, and what exceeds the limit is discarded with none. A response head could have 10 MiB.

Ruled out: a smaller limit of Connect alone; the call still lasted until its deadline.

Change: the transport fails the body of a response beyond maxMessageBytes, 16 MiB, and closes the connection; a head has at most 64 KiB.

--- a/connection/messenger/client.go
+++ b/connection/messenger/client.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -25,7 +27,9 @@
 const (
 	maxIdleConnsPerPeer = 32
 	idleConnTimeout     = 30 * time.Second
-	maxMessageBytes     = 64 << 20
+	// maxMessageBytes limits a message, and maxHeadBytes the head of a response.
+	maxMessageBytes = 16 << 20
+	maxHeadBytes    = 64 << 10
 )
 
 // Attempt is one attempt to run a request on an engine, as the replicas of the
@@ -69,14 +73,48 @@
 // NewClient returns a client and a clean-up function that closes its idle
 // connections.
 func NewClient() (c *Client, cleanup func()) {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: idleConnTimeout}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}
 	c = &Client{
-		httpClient: &http.Client{Transport: transport},
+		httpClient: &http.Client{Transport: &limitedTransport{underlying: transport}},
 		peers:      make(map[identifier.Address]peerv1connect.PeerClient),
 	}
 	return c, transport.CloseIdleConnections
 }
 
+var errMessageTooLarge = errors.New("the message exceeds the size limit")
+
+// limitedTransport limits the bodies of responses to maxMessageBytes. The limit of
+// Connect covers neither error responses nor what it discards of a message that is too
+// large.
+type limitedTransport struct {
+	underlying http.RoundTripper
+}
+
+// RoundTrip sends a request.
+func (t *limitedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.underlying.RoundTrip(req)
+	if err == nil {
+		resp.Body = &limitedBody{ReadCloser: resp.Body, bytesLeft: maxMessageBytes}
+	}
+	return resp, err
+}
+
+// limitedBody fails with errMessageTooLarge after bytesLeft bytes.
+type limitedBody struct {
+	io.ReadCloser
+	bytesLeft int
+}
+
+// Read reads from the body.
+func (b *limitedBody) Read(p []byte) (n int, err error) {
+	n, err = b.ReadCloser.Read(p[:min(len(p), b.bytesLeft+1)])
+	b.bytesLeft -= n
+	if b.bytesLeft < 0 {
+		return 0, errMessageTooLarge
+	}
+	return n, err
+}
+
 func (c *Client) peerClient(address identifier.Address) peerv1connect.PeerClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
