End a stream of frames that repeat, or exceed the output limit

A completion read frames of its own attempt without end: frames that repeated a token were dropped, each of them restarted the timeout of a token, and tokens beyond the output limit of the request were kept and passed on as long as the engine sent them.

Change: more than 1,000 repeated frames in a row, or a token beyond the output limit, interrupt the stream as a missing frame does, so that its engine counts as failed. Only a new token restarts the timeout. A stream that was resumed at another daemon has no known output limit.

--- a/request/streamer/decode.go
+++ b/request/streamer/decode.go
@@ -209,24 +209,29 @@
 }
 
 // relay passes frames to the caller until the final frame. It drops repeated frames
-// and treats a missing frame as an interrupted stream.
+// and treats a missing frame, too many repeated ones in a row, and more tokens than the
+// request allows as an interrupted stream.
 func (r *requestState) relay(ctx context.Context, stream *dispatcher.FrameStream, engine identifier.UpstreamName, attempt identifier.AttemptID) error {
 	watchdog := r.Clock.AfterFunc(tokenTimeout, stream.Close)
 	defer watchdog.Stop()
 	defer func() { r.Meter.AddEvents(meter.EventMismatchedFrame, int64(stream.MismatchedFrames)) }()
+	repeated := 0
 	for {
 		frame, err := stream.Next()
 		if err != nil {
 			return err
 		}
-		watchdog.Reset(tokenTimeout)
-		if frame.Index < len(r.output) {
+		if frame.Index < len(r.output) && repeated < maxRepeatedFrames {
 			r.Meter.CountEvent(meter.EventMismatchedFrame)
+			repeated++
 			continue
 		}
-		if frame.Index > len(r.output) {
+		isExcess := !frame.Done && r.req.MaxOutput > 0 && len(r.output) >= r.req.MaxOutput
+		if frame.Index != len(r.output) || isExcess {
 			return dispatcher.ErrStreamTruncated
 		}
+		watchdog.Reset(tokenTimeout)
+		repeated = 0
 		if frame.Done {
 			r.finishReason = frame.FinishReason
 			return nil
--- a/request/streamer/streamer.go
+++ b/request/streamer/streamer.go
@@ -36,9 +36,11 @@
 	maxTries = 4
 	// tokenTimeout is the longest gap between frames before a stream is treated as
 	// interrupted.
-	tokenTimeout  = 10 * time.Second
-	resumeTimeout = time.Second
-	retryAfter    = time.Second
+	tokenTimeout = 10 * time.Second
+	// maxRepeatedFrames limits the repeated frames in a row.
+	maxRepeatedFrames = 1000
+	resumeTimeout     = time.Second
+	retryAfter        = time.Second
 )
 
 // Request is a completion request.
@@ -47,7 +49,8 @@
 	Class     parser.Class
 	Model     identifier.ModelName
 	Prompt    string
-	// MaxOutput is the largest number of tokens to generate.
+	// MaxOutput is the largest number of tokens to generate, zero if it is not known, as
+	// after a resumption at another daemon.
 	MaxOutput int
 	Arrived   time.Time
 	// FirstTokenDeadline is the time by which the first token is due.
