Eject a server whose long response does not end

Callers of a plain service saw their connection aborted at the timeout when a response of more than 1 MiB did not end, and later calls went to the same server: the forwarder took the first part as a success, and nobody recorded how the rest ended.

Ruled out: an answer that looks complete, as the listener aborts the connection, and memory, as the rest is passed on in parts.

Change: if the rest of a response cannot be read to its end, its server is ejected like one that failed before, unless the caller disconnected.

TestServerWhoseLongResponseDoesNotEndIsEjected failed before at the deadline ("a != b", the server that comes first); the package passed with -race.

--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -238,6 +239,7 @@
 	}
 	response = Response{Status: httpResp.StatusCode, Header: dispatcher.EndToEndHeader(httpResp.Header), Body: body}
 	if more {
+		httpResp.Body = &remainder{ReadCloser: httpResp.Body, recordError: func(err error) { f.recordRemainderError(ctx, upstream, err) }}
 		response.Remainder = httpResp
 	}
 	done = func() {
@@ -247,6 +249,32 @@
 	return response, done, nil
 }
 
+// recordRemainderError marks a server as failed whose long response could not be read to
+// its end, unless the caller disconnected.
+func (f *Forwarder) recordRemainderError(ctx context.Context, upstream parser.Upstream, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	f.Picker.MarkFailed(upstream.Name)
+	f.Log.Warn("A server's response did not end.", "server", upstream.Name, "err", err)
+}
+
+// remainder is the rest of a response body. It passes the error of a read to
+// recordError.
+type remainder struct {
+	io.ReadCloser
+	recordError func(err error)
+}
+
+// Read reads from the body.
+func (r *remainder) Read(p []byte) (n int, err error) {
+	n, err = r.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.recordError(err)
+	}
+	return n, err
+}
+
 // failureRefusal returns the refusal of an idempotent call that got no usable
 // response. The call may have run if some attempt may have reached a server.
 func failureRefusal(ctx context.Context, mayHaveRun bool) *refuser.Refusal {
