--- a/request/proxier/endless_test.go
+++ b/request/proxier/endless_test.go
@@ -349,3 +349,19 @@
 		})
 	}
 }
+
+// Guards against a body without end that leaves an idempotent request no time for
+// another server.
+func TestIdempotentRequestIsTriedElsewhereAfterAnEndlessBody(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, parser.Route{Kind: parser.RouteIdempotent, MaxAttempts: 2}, "a", "b")
+	closed := make(chan struct{}, 1)
+	f.upstreams["a"].respond = flood("", "x", floodPause, closed)
+	for tries := 0; f.upstreams["a"].runCount() == 0 && tries < 200; tries++ {
+		w, refusal, err := f.serve(context.Background(), time.Second)
+		is.NoErr(err)
+		is.True(refusal == nil)
+		is.Equal(w.Body.String(), "plain")
+	}
+	awaitSignal(t, closed)
+}
