--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -47,7 +47,13 @@
 	// An exchange fails when it has received maxMismatchedResponses responses to
 	// other requests.
 	maxMismatchedResponses = 2
-	bufferBytes            = 4096
+	// maxDiscardedBytes limits the body of a response to another request. The
+	// exchange fails if such a body is longer or of unknown length.
+	maxDiscardedBytes = 1 << 20
+	bufferBytes       = 4096
+	// maxHeadBytes limits the bytes of a response before its body, including those
+	// of interim responses.
+	maxHeadBytes = 64 << 10
 	// minFinalStatus is the lowest status of a final response. Interim responses
 	// have a lower one.
 	minFinalStatus = 200
@@ -57,6 +63,10 @@
 // sent only responses to other requests.
 var ErrMismatchedResponse = errors.New("the response belongs to another request")
 
+// ErrHeadTooLarge is the cause of an exchange that failed because the upstream sent
+// too many bytes before the body of a response.
+var ErrHeadTooLarge = errors.New("the response head exceeds the size limit")
+
 // Request is a request as it is sent on the wire.
 type Request struct {
 	Method string
@@ -72,7 +82,9 @@
 type SendError struct {
 	// MaybeSent is true if any byte of the request may have been sent.
 	MaybeSent bool
-	Err       error
+	// Incomplete is true if a part of a response arrived.
+	Incomplete bool
+	Err        error
 }
 
 // Error returns the text of the underlying error.
@@ -88,6 +100,13 @@
 	return err != nil && (!errors.As(err, &sendErr) || sendErr.MaybeSent)
 }
 
+// IsIncomplete reports whether a part of the response arrived before an exchange
+// failed with err.
+func IsIncomplete(err error) bool {
+	var sendErr *SendError
+	return errors.As(err, &sendErr) && sendErr.Incomplete
+}
+
 // Exchanger sends requests to upstreams and keeps a pool of idle connections to
 // them. It is safe for concurrent use.
 type Exchanger struct {
@@ -150,7 +169,7 @@
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
-		return nil, &SendError{MaybeSent: c.bytesWritten.Load() > 0, Err: fmt.Errorf("call %s: %w", address, err)}
+		return nil, &SendError{MaybeSent: c.bytesWritten.Load() > 0, Incomplete: c.limit.hasRead(), Err: fmt.Errorf("call %s: %w", address, err)}
 	}
 	response := &Response{Response: resp, Reused: c.requestCount > 1}
 	resp.Body = &responseBody{ReadCloser: resp.Body, exchanger: x, conn: c, stop: stop, ctx: ctx, idleTimeout: idleTimeout(resp)}
@@ -179,8 +198,12 @@
 	c.sendDone = make(chan struct{})
 	go c.send(httpReq, c.sendDone)
 	mismatched := 0
+	c.limit.start()
 	for {
 		resp, err := http.ReadResponse(c.reader, httpReq)
+		if c.limit.exceeded {
+			return nil, ErrHeadTooLarge
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -190,15 +213,20 @@
 		if resp.StatusCode < minFinalStatus {
 			continue
 		}
+		c.limit.stop()
 		if x.IsMatchingResponse(resp.Header, request.Header) {
 			return resp, nil
 		}
 		mismatched++
 		c.notReusable = true
+		if mismatched >= maxMismatchedResponses || resp.ContentLength < 0 || resp.ContentLength > maxDiscardedBytes {
+			return nil, ErrMismatchedResponse
+		}
 		_, err = io.Copy(io.Discard, resp.Body)
-		if err != nil || mismatched >= maxMismatchedResponses || resp.ContentLength < 0 {
+		if err != nil {
 			return nil, ErrMismatchedResponse
 		}
+		c.limit.start()
 	}
 }
 
@@ -287,7 +315,8 @@
 	delete(x.idle, address)
 }
 
-// PruneIdle closes the connections whose idle timeout has expired.
+// PruneIdle closes the connections whose idle timeout has expired, and those that the
+// upstream has closed or sent anything on.
 func (x *Exchanger) PruneIdle() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -295,7 +324,7 @@
 	for address, conns := range x.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if now.Before(c.idleUntil) {
+			if now.Before(c.idleUntil) && c.isHealthy() {
 				kept = append(kept, c)
 				continue
 			}
