Hold only a broken-off stream against the parts of its prompt

The errors of streams whose engine did not break off are listed, and leave the step decode-failed, which ejects the engine only. The two new rows of TestOnlyAStreamCutBeforeItsFirstEventIsReportedAsSuch failed before with cut-before-output and cut-before-header.

--- a/request/proxier/proxier_test.go
+++ b/request/proxier/proxier_test.go
@@ -268,6 +268,15 @@
 		{"cut before the header", func(u *fakeUpstream) { u.abortBeforeHeader = true }, placer.StepCutBeforeHeader},
 		{"cut after an event", func(u *fakeUpstream) { u.abortAfter = 1 }, placer.StepDecodeFailed},
 		{"rejected", func(u *fakeUpstream) { u.rejecting = true }, placer.StepDecodeFailed},
+		{"stream without a complete event", func(u *fakeUpstream) {
+			u.respond = flood("", ": \n", 0, nil)
+		}, placer.StepDecodeFailed},
+		{"header without end", func(u *fakeUpstream) {
+			u.respond = func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Long", strings.Repeat("x", 128<<10))
+				w.WriteHeader(http.StatusOK)
+			}
+		}, placer.StepDecodeFailed},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -60,6 +60,13 @@
 // event.
 var errEventTooLarge = errors.New("the stream has no complete event within the size limit")
 
+// errCannotResume means that an engine responded with a failure to a request to resume
+// a stream.
+var errCannotResume = errors.New("the engine cannot resume the stream")
+
+// noCrashErrors are the errors of streams whose engine did not break off.
+var noCrashErrors = []error{errCallerWrite, errEventTooLarge, errCannotResume, exchanger.ErrHeadTooLarge, exchanger.ErrMismatchedResponse}
+
 // eventEnd ends each block of a stream. A block is an event if it has one of the
 // fields id and data.
 var (
@@ -264,7 +271,7 @@
 		} else {
 			ss.mayHaveRun = true
 			ss.decodeExecutions++
-			p.recordCut(ctx, ss, report)
+			p.recordCut(ctx, ss, report, err)
 		}
 		retry = !exchanger.MaybeSent(err) || p.mayResume(ss)
 		return p.noResponseRefusal(ctx, ss.requestState, refuser.UpstreamFailed, "the decode engine did not answer"), retry, nil
@@ -284,16 +291,14 @@
 	if isSuccess {
 		err = p.relayEvents(ctx, ss, response, report)
 	} else {
-		err = fmt.Errorf("cannot resume: status %d", response.StatusCode)
+		err = fmt.Errorf("%w: status %d", errCannotResume, response.StatusCode)
 	}
 	if err == nil {
 		return nil, false, nil
 	}
 	p.Log.Info("A stream was cut.", "id", ss.req.ID, "upstream", engine.Name, "events", ss.eventCount, "engine-output", ss.hasEngineOutput, "workspace", ss.workspace.Name, "parts", ss.req.PromptParts, "err", err)
 	p.recordDecodeFailure(ctx, ss, engine, report)
-	if !errors.Is(err, errCallerWrite) {
-		p.recordCut(ctx, ss, report)
-	}
+	p.recordCut(ctx, ss, report, err)
 	return p.noResponseRefusal(ctx, ss.requestState, refuser.StreamTruncated, "the stream was cut"), p.mayResume(ss), fmt.Errorf("%w: %w", ErrResponseTruncated, err)
 }
 
@@ -314,10 +319,12 @@
 }
 
 // recordCut counts a decode engine that broke off, and reports whether it did so before
-// its first event. It does nothing if the request itself has ended.
-func (p *Proxier) recordCut(ctx context.Context, ss *streamState, report *placer.Report) {
+// its first event. It does nothing if the request itself has ended, or if err is of an
+// engine that did not break off.
+func (p *Proxier) recordCut(ctx context.Context, ss *streamState, report *placer.Report, err error) {
+	isNoCrash := slices.ContainsFunc(noCrashErrors, func(target error) bool { return errors.Is(err, target) })
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || isNoCrash:
 	case ss.hasEngineOutput:
 		p.Meter.CountEvent(meter.EventCutAfterOutput)
 	case ss.hasEngineHeader:
