Serve requests that are read while the product's own daemon stops

TestRequestReadAfterTheListenerIsClosedIsAnswered in process/server failed with 'unexpected EOF' before and passes.

--- a/process/server/server.go
+++ b/process/server/server.go
@@ -29,6 +29,7 @@
 
 	"sassafraspass.dev/sassafraspass/annotator"
 	"sassafraspass.dev/sassafraspass/connection/appender"
+	"sassafraspass.dev/sassafraspass/connection/drainer"
 	"sassafraspass.dev/sassafraspass/connection/listener"
 	"sassafraspass.dev/sassafraspass/connection/opener"
 	"sassafraspass.dev/sassafraspass/identifier"
@@ -73,6 +74,7 @@
 	snapshotter   *snapshotter.Snapshotter
 	callerHandler *listener.Listener
 	callerServer  *http.Server
+	drainer       *drainer.Drainer
 
 	aborted   chan struct{}
 	abortOnce sync.Once
@@ -198,7 +200,7 @@
 		taskCtx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return task(taskCtx) }, func(error) { cancel() })
 	}
-	opener.Serve(&group, s.callerServer, s.listeners.callers)
+	opener.Serve(&group, s.callerServer, s.drainer.Listen(s.listeners.callers))
 	opener.Serve(&group, listener.NewServer(s.peerHandler()), s.listeners.peers)
 	opener.Serve(&group, listener.NewServer(s.operatorHandler()), s.listeners.operators)
 	stopCtx, cancel := context.WithCancel(context.Background())
--- a/process/server/stop.go
+++ b/process/server/stop.go
@@ -12,6 +12,8 @@
 	// announceDelay gives the other daemons time to learn that this one is
 	// leaving.
 	announceDelay = time.Second
+	// maxDrainTime exceeds the duration of every request.
+	maxDrainTime = 24 * time.Hour
 	// handoverTimeout bounds the final waits for the log, engines and peers
 	// together. The other daemons recover whatever is not handed over by then.
 	handoverTimeout      = 10 * time.Second
@@ -57,8 +59,10 @@
 	s.Log.Info("Leaving.", "entry-max-age", s.settings.EntryMaxAge)
 	s.Leaving.Store(true)
 	s.Heartbeater.SendAllNow()
+	s.drainer.Begin(s.settings.EntryMaxAge+announceDelay, maxDrainTime)
 	repeater.Sleep(ctx, s.Clock, s.settings.EntryMaxAge+announceDelay)
-	err := s.callerServer.Shutdown(ctx)
+	s.drainer.CloseIdle()
+	err := s.drainer.Drain(ctx)
 	if err != nil {
 		return err
 	}
--- a/process/server/wire.go
+++ b/process/server/wire.go
@@ -5,6 +5,7 @@
 
 	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/connection/dispatcher"
+	"sassafraspass.dev/sassafraspass/connection/drainer"
 	"sassafraspass.dev/sassafraspass/connection/listener"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/fleet"
@@ -171,4 +172,6 @@
 		Meter:          s.Meter,
 	}
 	s.callerServer = listener.NewServer(s.callerHandler.Handler())
+	s.drainer = drainer.New(s.Clock)
+	s.drainer.Attach(s.callerServer)
 }
