--- a/process/replicator/replicator.go
+++ b/process/replicator/replicator.go
@@ -212,7 +212,7 @@
 // in other availability zones come first, one from each zone; the remaining daemons
 // follow in case there are too few zones.
 func (r *Replicator) chooseReplicas() []heartbeater.Peer {
-	live := r.Live()
+	live := slices.Clone(r.Live())
 	slices.SortFunc(live, func(a, b heartbeater.Peer) int {
 		if rendezvousHash(r.Self, a.Incarnation) < rendezvousHash(r.Self, b.Incarnation) {
 			return -1
