--- a/request/quarantiner/quarantiner.go
+++ b/request/quarantiner/quarantiner.go
@@ -47,20 +47,6 @@
 	maxSuspicions = 64
 )
 
-// Suspicion is the evidence that a prompt part crashes engines.
-type Suspicion struct {
-	Part identifier.PromptPartID
-	// Crashes counts the engine crashes at the start of an output for a request with
-	// the part, and Requests the different requests among them. Both are zero for a part
-	// that was cleared since LastCrash.
-	Crashes  int
-	Requests int
-	// LastCrash is the time of the newest crash.
-	LastCrash time.Time
-	// Quarantined is set if requests with the part are refused.
-	Quarantined bool
-}
-
 // Shape tells requests apart that have the same parts. Repeats of a request have its
 // shape.
 type Shape struct {
@@ -77,36 +63,6 @@
 	PlacedAt time.Time
 }
 
-// Ruling says what to do with a request that waits for an engine.
-type Ruling string
-
-// The rulings.
-const (
-	// Admit means that nothing is known against the request.
-	Admit Ruling = "admit"
-	// Test means that the request is the only one with a suspected part that may be
-	// before its output.
-	Test Ruling = "test"
-	// Hold means that the request must wait, as another one tests its part, or as it may
-	// have crashed an engine itself.
-	Hold Ruling = "hold"
-	// Refuse means that a part of the request is quarantined.
-	Refuse Ruling = "refuse"
-)
-
-// rulings lists the rulings from the mildest to the strictest.
-var rulings = []Ruling{Admit, Test, Hold, Refuse}
-
-// Verdict is the ruling on a request and the part that decided it, if any.
-type Verdict struct {
-	Ruling Ruling
-	Part   identifier.PromptPartID
-	// RetryAfter is when the caller should come back, for Refuse.
-	RetryAfter time.Duration
-	// MayHaveCrashed is set for Hold if the request itself may have crashed an engine.
-	MayHaveCrashed bool
-}
-
 // Change is what happened to a part, as it is logged.
 type Change string
 
@@ -177,62 +133,6 @@
 	}
 }
 
-// Judge rules on a request that waits for an engine. Failed lists the engines that
-// failed it before.
-func (q *Quarantiner) Judge(parts []identifier.PromptPartID, shape Shape, failed []identifier.UpstreamName, now time.Time) Verdict {
-	verdict := Verdict{Ruling: Admit}
-	if len(q.quarantines) == 0 && len(q.evidence) == 0 {
-		return verdict
-	}
-	for _, part := range limitParts(parts) {
-		ruling := q.judgePart(part, shape, failed, now)
-		if ruling.Ruling == Refuse {
-			return ruling
-		}
-		if ruling.isStricterThan(verdict) {
-			verdict = ruling
-		}
-	}
-	return verdict
-}
-
-func (q *Quarantiner) judgePart(part identifier.PromptPartID, shape Shape, failed []identifier.UpstreamName, now time.Time) Verdict {
-	held, isQuarantined := q.quarantines[part]
-	e, isSuspected := q.evidence[part]
-	isSuspected = isSuspected && now.Sub(e.lastCrash) <= evidenceAge
-	isTested := q.starting[part] > 0
-	switch {
-	case isQuarantined && now.Before(held.until):
-		return Verdict{Ruling: Refuse, Part: part, RetryAfter: held.until.Sub(now)}
-	case isQuarantined && (isTested || len(failed) > 0):
-		return Verdict{Ruling: Refuse, Part: part, RetryAfter: testWait}
-	case !isQuarantined && !isSuspected:
-		return Verdict{Ruling: Admit}
-	case q.mayHaveCrashed(part, shape, failed):
-		return Verdict{Ruling: Hold, Part: part, MayHaveCrashed: true}
-	case isTested:
-		return Verdict{Ruling: Hold, Part: part}
-	}
-	return Verdict{Ruling: Test, Part: part}
-}
-
-func (v Verdict) isStricterThan(other Verdict) bool {
-	strictness := func(v Verdict) int {
-		if v.MayHaveCrashed {
-			return len(rulings)
-		}
-		return slices.Index(rulings, v.Ruling)
-	}
-	return strictness(v) > strictness(other)
-}
-
-// mayHaveCrashed reports whether a suspected part's crashes include one of the engines
-// that failed a request of this shape.
-func (q *Quarantiner) mayHaveCrashed(part identifier.PromptPartID, shape Shape, failed []identifier.UpstreamName) bool {
-	e := q.evidence[part]
-	return e != nil && e.shapes[shape] && slices.ContainsFunc(failed, func(name identifier.UpstreamName) bool { return e.engines[name] })
-}
-
 // BeginStart records that a request was sent to an engine. EndStart must follow once.
 func (q *Quarantiner) BeginStart(parts []identifier.PromptPartID) {
 	for _, part := range limitParts(parts) {
@@ -434,10 +334,6 @@
 	e.engines[c.engine] = true
 }
 
-func (e *evidence) suspicion(part identifier.PromptPartID) Suspicion {
-	return Suspicion{Part: part, Crashes: e.crashes, Requests: len(e.shapes), LastCrash: e.lastCrash}
-}
-
 // findWorst returns the part that explains a crash best, empty if none has failed enough
 // tests: the one that failed most, then the one that has not started an output for
 // longest, then the one that comes later in the prompt, which fewer requests share.
@@ -474,94 +370,6 @@
 	q.quarantines[held.suspicion.Part] = held
 }
 
-// Suspicions returns the evidence for another daemon: quarantined parts first, then
-// suspected ones, then those that were cleared, the newest first.
-func (q *Quarantiner) Suspicions(now time.Time) (suspicions []Suspicion) {
-	for _, held := range q.quarantines {
-		suspicions = append(suspicions, held.suspicion)
-	}
-	for part, e := range q.evidence {
-		if now.Sub(e.lastCrash) <= evidenceAge {
-			suspicions = append(suspicions, e.suspicion(part))
-		}
-	}
-	for part, at := range q.clearedParts(now) {
-		if q.evidence[part] == nil && q.quarantines[part] == nil {
-			suspicions = append(suspicions, Suspicion{Part: part, LastCrash: at})
-		}
-	}
-	slices.SortFunc(suspicions, compareSuspicions)
-	return suspicions[:min(len(suspicions), maxSuspicions)]
-}
-
-// clearedParts returns the parts that have started an output since a remembered crash,
-// with the time of the newest such crash.
-func (q *Quarantiner) clearedParts(now time.Time) map[identifier.PromptPartID]time.Time {
-	cleared := make(map[identifier.PromptPartID]time.Time)
-	for _, c := range q.crashes {
-		if now.Sub(c.at) > evidenceAge {
-			continue
-		}
-		for _, cut := range c.suspects {
-			for _, part := range cut.Parts {
-				if q.lastStart(part).After(c.at) {
-					cleared[part] = c.at
-				}
-			}
-		}
-	}
-	return cleared
-}
-
-func compareSuspicions(a, b Suspicion) int {
-	switch {
-	case a.Quarantined != b.Quarantined && a.Quarantined:
-		return -1
-	case a.Quarantined != b.Quarantined:
-		return 1
-	case (a.Crashes > 0) != (b.Crashes > 0):
-		return b.Crashes - a.Crashes
-	}
-	return b.LastCrash.Compare(a.LastCrash)
-}
-
-// Adopt adds the evidence of another daemon. It ignores what is older than its own, and
-// takes a time in the future for the present.
-func (q *Quarantiner) Adopt(suspicions []Suspicion, now time.Time) {
-	for _, s := range suspicions {
-		if s.Part == "" {
-			continue
-		}
-		if s.LastCrash.After(now) {
-			s.LastCrash = now
-		}
-		switch {
-		case s.Crashes == 0 && !s.Quarantined:
-			q.RecordOutput([]identifier.PromptPartID{s.Part}, s.LastCrash.Add(1))
-		case !s.LastCrash.After(q.lastStart(s.Part)):
-		case s.Quarantined:
-			q.adoptQuarantine(s)
-		case now.Sub(s.LastCrash) <= evidenceAge && !q.hasCrashAt(s.Part, s.LastCrash):
-			cut := Cut{Parts: []identifier.PromptPartID{s.Part}, PlacedAt: s.LastCrash}
-			q.addCrash(&crash{at: s.LastCrash, suspects: []Cut{cut}})
-		}
-	}
-	q.sumUpAt(now)
-}
-
-func (q *Quarantiner) adoptQuarantine(s Suspicion) {
-	held, ok := q.quarantines[s.Part]
-	if ok && !s.LastCrash.After(held.suspicion.LastCrash) {
-		return
-	}
-	q.addQuarantine(&quarantine{suspicion: s, until: s.LastCrash.Add(quarantineTime(s.Crashes))})
-}
-
-// hasCrashAt reports whether a part's crash at a time or later is known.
-func (q *Quarantiner) hasCrashAt(part identifier.PromptPartID, at time.Time) bool {
-	return slices.ContainsFunc(q.crashes, func(c *crash) bool { return !c.at.Before(at) && c.hasPart(part) })
-}
-
 func limitParts(parts []identifier.PromptPartID) []identifier.PromptPartID {
 	return parts[:min(len(parts), maxParts)]
 }
