Let the server close the sending half of a caller's connection

Cause: since the drainer owns the callers' connections, its wrapper hid CloseWrite, which net/http looks for: without it the server closes a connection with unread bytes at once, which resets it. The wrapper has CloseWrite now.

TestServerClosesTheSendingHalfAfterATooLargeHeader failed before.

--- a/connection/drainer/conn.go
+++ b/connection/drainer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -124,6 +125,16 @@
 	return c.Conn.SetReadDeadline(at)
 }
 
+// CloseWrite closes the sending half of the connection. The server uses it to respond
+// before it has read everything.
+func (c *conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
+
 // trackState is called by the server when the state of a connection changes.
 func (d *Drainer) trackState(nc net.Conn, state http.ConnState) {
 	wrapped, ok := nc.(trackedConn)
--- a/connection/drainer/conn_test.go
+++ b/connection/drainer/conn_test.go
@@ -248,6 +248,55 @@
 	is.True(errors.Is(err, io.EOF))
 }
 
+// halfClosingListener hands out connections that report the closing of their sending half.
+type halfClosingListener struct {
+	net.Listener
+	halfClosed chan struct{}
+}
+
+// Accept returns the next connection.
+func (l *halfClosingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	return &halfClosingConn{Conn: accepted, halfClosed: l.halfClosed}, err
+}
+
+type halfClosingConn struct {
+	net.Conn
+	halfClosed chan struct{}
+}
+
+// CloseWrite reports the call.
+func (c *halfClosingConn) CloseWrite() error {
+	close(c.halfClosed)
+	return nil
+}
+
+// Guards against an error response that its caller does not get: a server that closes a
+// connection with unread bytes resets it, unless it closes the sending half first.
+func TestServerClosesTheSendingHalfAfterATooLargeHeader(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := &halfClosingListener{Listener: inner, halfClosed: make(chan struct{})}
+	d := New(clockwork.NewRealClock())
+	server := &http.Server{MaxHeaderBytes: 1024, ReadHeaderTimeout: time.Second, Handler: http.NotFoundHandler()}
+	d.Attach(server)
+	go func() { _ = server.Serve(d.Listen(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	c, in := dial(t, inner)
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 16<<10)+"\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(in, nil)
+	is.NoErr(err)
+	_ = resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	select {
+	case <-l.halfClosed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the sending half was not closed")
+	}
+}
+
 func TestDrainDoesNotWaitForUnusedConnections(t *testing.T) {
 	is := is.New(t)
 	l := &pausingListener{}
