Accept every figure that the platform renders into the settings

Cause: the settings file is text that another program renders, and its figures may be whole numbers, fractions, numbers with an exponent, or absent. Integer fields, time.ParseDuration (no exponents) and unconditional lines of the template each rejected some of them, and a rejected setting ends every daemon of the fleet.

Negative and non-numeric values stay errors with the field's name; ports above 65535 are errors too.

--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -3,9 +3,10 @@
 package configurer
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
-	"net"
+	"net/netip"
 	"os"
 	"time"
 
@@ -62,21 +63,22 @@
 	// If empty, PeerAddress is advertised.
 	AdvertisedPeerAddress identifier.Address `json:"advertised-peers,omitempty"`
 	// MemoryMiB is the VM's memory in MiB; zero sets no memory limit.
-	MemoryMiB int64 `json:"memory-mib"`
+	MemoryMiB float64 `json:"memory-mib"`
 	// CPUCores is the number of CPU cores, possibly fractional, that the VM has.
 	CPUCores float64 `json:"cpu-share"`
 	// GracePeriod is the time from the signal to stop (SIGTERM) until the
-	// platform kills the process.
+	// platform kills the process; zero means defaultGracePeriod.
 	GracePeriod time.Duration `json:"grace"`
 	// RetryRatio and RetryExtra limit the sends to a second upstream within
 	// RetryWindow: RetryRatio per request, plus RetryExtra over all daemons
-	// together.
+	// together. A window of zero means defaultRetryWindow.
 	RetryRatio  float64       `json:"retry-ratio"`
-	RetryExtra  int           `json:"retry-extra"`
+	RetryExtra  float64       `json:"retry-extra"`
 	RetryWindow time.Duration `json:"retry-window"`
 	// LimitToleranceRatio and LimitToleranceTokens are the excess over a
 	// workspace's limit that the deployment tolerates in any LimitToleranceWindow:
-	// a fraction of the limit, plus a number of tokens. Zero makes limits strict.
+	// a fraction of the limit, plus a number of tokens. Zero makes limits strict. A
+	// window of zero means defaultLimitWindow.
 	LimitToleranceRatio  float64       `json:"limit-overshoot"`
 	LimitToleranceTokens float64       `json:"limit-slack-tokens"`
 	LimitToleranceWindow time.Duration `json:"limit-window"`
@@ -92,6 +94,15 @@
 	defaultEntryMaxAge      = 5 * time.Second
 	defaultSnapshotInterval = 10 * time.Minute
 	maxEntryMaxAge          = 10 * time.Minute
+
+	defaultGracePeriod = 8 * time.Second
+	defaultRetryWindow = 10 * time.Second
+	defaultLimitWindow = 8 * time.Second
+	// Shorter windows are extended to minWindow, and all durations of the gateway are
+	// cut to maxGatewayDuration, so that arithmetic with them cannot overflow.
+	minWindow          = 100 * time.Millisecond
+	maxGatewayDuration = 24 * time.Hour
+	maxMemoryMiB       = 1 << 30
 )
 
 // Load reads and validates a settings file. Errors in the file's content are of
@@ -118,7 +129,21 @@
 	if err != nil {
 		return settings, err
 	}
-	return settings, validate(doc, settings)
+	err = validate(doc, settings)
+	if err == nil && settings.Gateway != nil {
+		settings.Gateway.normalize()
+	}
+	return settings, err
+}
+
+// normalize sets defaults and replaces values that are valid but out of the range with
+// which the daemon can work.
+func (g *Gateway) normalize() {
+	g.GracePeriod = min(cmp.Or(g.GracePeriod, defaultGracePeriod), maxGatewayDuration)
+	g.RetryWindow = min(max(cmp.Or(g.RetryWindow, defaultRetryWindow), minWindow), maxGatewayDuration)
+	g.LimitToleranceWindow = min(max(cmp.Or(g.LimitToleranceWindow, defaultLimitWindow), minWindow), maxGatewayDuration)
+	g.OrderHandoverWait = min(g.OrderHandoverWait, maxGatewayDuration)
+	g.MemoryMiB = min(g.MemoryMiB, maxMemoryMiB)
 }
 
 func validate(doc *decoder.Document, s Settings) error {
@@ -170,26 +195,32 @@
 		return doc.Errorf("/gateway/directory", "must be an IP address with a port")
 	case g.AdvertisedPeerAddress != "" && !isAddress(g.AdvertisedPeerAddress):
 		return doc.Errorf("/gateway/advertised-peers", "must be an IP address with a port")
-	case g.MemoryMiB < 0:
-		return doc.Errorf("/gateway/memory-mib", "must not be negative")
-	case g.GracePeriod < time.Second:
-		return doc.Errorf("/gateway/grace", "must be at least %s", time.Second)
-	case g.RetryRatio < 0 || g.RetryExtra < 0:
-		return doc.Errorf("/gateway/retry-ratio", "must not be negative")
-	case g.LimitToleranceRatio < 0 || g.LimitToleranceTokens < 0:
-		return doc.Errorf("/gateway/limit-overshoot", "must not be negative")
-	case g.LimitToleranceWindow < time.Second:
-		return doc.Errorf("/gateway/limit-window", "must be at least %s", time.Second)
-	case g.OrderHandoverWait < 0:
-		return doc.Errorf("/gateway/order-lease", "must not be negative")
-	case g.RetryWindow < time.Second:
-		return doc.Errorf("/gateway/retry-window", "must be at least %s", time.Second)
+	}
+	numbers := []struct {
+		field string
+		value float64
+	}{
+		{"memory-mib", g.MemoryMiB},
+		{"cpu-share", g.CPUCores},
+		{"grace", g.GracePeriod.Seconds()},
+		{"retry-ratio", g.RetryRatio},
+		{"retry-extra", g.RetryExtra},
+		{"retry-window", g.RetryWindow.Seconds()},
+		{"limit-overshoot", g.LimitToleranceRatio},
+		{"limit-slack-tokens", g.LimitToleranceTokens},
+		{"limit-window", g.LimitToleranceWindow.Seconds()},
+		{"order-lease", g.OrderHandoverWait.Seconds()},
+	}
+	for _, number := range numbers {
+		if number.value < 0 {
+			return doc.Errorf("/gateway/"+number.field, "must not be negative")
+		}
 	}
 	return nil
 }
 
-// isAddress reports whether an address is an IP address with a port.
+// isAddress reports whether an address is an IP address with a port from 1 to 65535.
 func isAddress(address identifier.Address) bool {
-	host, port, err := net.SplitHostPort(string(address))
-	return err == nil && net.ParseIP(host) != nil && port != ""
+	parsed, err := netip.ParseAddrPort(string(address))
+	return err == nil && parsed.Port() > 0
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -121,7 +121,7 @@
 		}
 	}
 	if settings.Gateway.MemoryMiB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.Gateway.MemoryMiB<<20)))
+		debug.SetMemoryLimit(int64(memoryLimitFraction * settings.Gateway.MemoryMiB * (1 << 20)))
 	}
 	g = &Gateway{
 		drivers:          drivers,
--- a/request/budgeter/budgeter.go
+++ b/request/budgeter/budgeter.go
@@ -27,7 +27,7 @@
 	Ratio float64
 	// Extra is the number of retries that all daemons together may send in each window
 	// in addition to those that Ratio allows.
-	Extra int
+	Extra float64
 	// Window is the length of the sliding window.
 	Window time.Duration
 }
@@ -96,7 +96,7 @@
 		requests += c.requests[i]
 		retries += c.retries[i]
 	}
-	extraShare := float64(b.bounds.Extra) / float64(max(1, b.DaemonCount()))
+	extraShare := b.bounds.Extra / float64(max(1, b.DaemonCount()))
 	allowed := safetyFactor * (b.bounds.Ratio*float64(requests) + extraShare)
 	if float64(retries+1) > allowed {
 		return false
