Count the retry budget's windows by the monotonic clock

After a step of the time of day the windows of the retry budget moved with it: a step forward granted a second budget within a window, and a step back left the budget used up until the clock had caught up.

Cause: buckets were numbered by Unix time. They are numbered by the time since the budgeter's start now, which time.Time measures monotonically.

--- a/request/budgeter/budgeter.go
+++ b/request/budgeter/budgeter.go
@@ -40,13 +40,16 @@
 
 	bounds Bounds
 	clock  clockwork.Clock
+	// startedAt is the origin of the numbers of buckets. Time since then is monotonic,
+	// so a step of the wall clock moves no window.
+	startedAt time.Time
 
 	mu              sync.Mutex
 	countsByService map[identifier.ServiceName]*windowCounts
 }
 
 // windowCounts holds the counts of a service in the last window, as a ring of buckets.
-// Buckets are numbered from the Unix epoch on; bucket n is at index n modulo
+// Buckets are numbered from the budgeter's start on; bucket n is at index n modulo
 // bucketsPerWindow.
 type windowCounts struct {
 	requests [bucketsPerWindow]int
@@ -61,6 +64,7 @@
 	return &Budgeter{
 		DaemonCount:     func() int { return 1 },
 		bounds:          bounds,
+		startedAt:       clock.Now(),
 		clock:           clock,
 		countsByService: make(map[identifier.ServiceName]*windowCounts),
 	}
@@ -113,7 +117,7 @@
 		c = &windowCounts{}
 		b.countsByService[service] = c
 	}
-	current := b.clock.Now().UnixNano() / int64(b.bounds.Window/bucketsPerWindow)
+	current := int64(b.clock.Since(b.startedAt) / max(1, b.bounds.Window/bucketsPerWindow))
 	for n := max(c.newestBucket+1, current-bucketsPerWindow+1); n <= current; n++ {
 		c.requests[n%bucketsPerWindow] = 0
 		c.retries[n%bucketsPerWindow] = 0
