--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -219,8 +219,9 @@
 	return nil
 }
 
-// isAddress reports whether an address is an IP address with a port from 1 to 65535.
+// isAddress reports whether an address is an IP address with a port. The port 0 lets
+// the system choose one.
 func isAddress(address identifier.Address) bool {
-	parsed, err := netip.ParseAddrPort(string(address))
-	return err == nil && parsed.Port() > 0
+	_, err := netip.ParseAddrPort(string(address))
+	return err == nil
 }
