Relay changes of rosters, and compute the live list only when it changes

Cause, from a profile of 200 daemons in one process (BenchmarkFleet): 45% went into the list of live daemons, which each of several readers a daemon had computed ten times a second from the whole rosters of five hubs, and most of the rest into the garbage of that; at start each hub sent its whole roster to every daemon whenever any daemon changed.

The list is computed again only after a change of its members or when the first of them may have fallen silent, and readers look members up in an index. Hubs send the changes of a roster since the receiver's revision; daemons of earlier builds, which do not say that they accept changes, get it whole. Long silent peers are dropped every 5 s instead of 4 times a second.

--- a/connection/messenger/relays.go
+++ b/connection/messenger/relays.go
@@ -15,7 +15,7 @@
 	if marks == (heartbeater.Marks{}) {
 		return nil
 	}
-	return &peerv1.Marks{RosterOf: string(marks.RosterOf), Roster: marks.Roster, Upstreams: int64(marks.Upstreams)}
+	return &peerv1.Marks{RosterOf: string(marks.RosterOf), Roster: marks.Roster, Upstreams: int64(marks.Upstreams), RosterChanges: marks.AcceptsRosterChanges}
 }
 
 func decodeMarks(msg *peerv1.Marks) heartbeater.Marks {
@@ -26,6 +26,8 @@
 		RosterOf:  identifier.Incarnation(msg.GetRosterOf()),
 		Roster:    msg.GetRoster(),
 		Upstreams: identifier.Offset(msg.GetUpstreams()),
+
+		AcceptsRosterChanges: msg.GetRosterChanges(),
 	}
 }
 
@@ -35,9 +37,15 @@
 	if relay == nil {
 		return nil
 	}
-	msg := &peerv1.Relay{HasRoster: relay.HasRoster, Roster: relay.Roster, UpstreamsOffset: int64(identifier.NoOffset)}
-	for _, heartbeat := range relay.Members {
-		msg.Members = append(msg.Members, encodeHeartbeat(heartbeat))
+	msg := &peerv1.Relay{UpstreamsOffset: int64(identifier.NoOffset)}
+	if relay.Roster != nil {
+		msg.HasRoster = true
+		msg.Roster = relay.Roster.Revision
+		msg.RosterBase = relay.Roster.Base
+		msg.Departed = toStrings(relay.Roster.Departed)
+		for _, heartbeat := range relay.Roster.Members {
+			msg.Members = append(msg.Members, encodeHeartbeat(heartbeat))
+		}
 	}
 	update := relay.Upstreams
 	if update == nil {
@@ -69,9 +77,16 @@
 	if msg == nil {
 		return nil
 	}
-	relay := &heartbeater.Relay{HasRoster: msg.GetHasRoster(), Roster: msg.GetRoster()}
-	for _, heartbeat := range msg.GetMembers() {
-		relay.Members = append(relay.Members, decodeHeartbeat(heartbeat))
+	relay := &heartbeater.Relay{}
+	if msg.GetHasRoster() {
+		relay.Roster = &heartbeater.RosterUpdate{
+			Revision: msg.GetRoster(),
+			Base:     msg.GetRosterBase(),
+			Departed: fromStrings[identifier.Incarnation](msg.GetDeparted()),
+		}
+		for _, heartbeat := range msg.GetMembers() {
+			relay.Roster.Members = append(relay.Roster.Members, decodeHeartbeat(heartbeat))
+		}
 	}
 	nextOffset := identifier.Offset(msg.GetUpstreamsOffset())
 	if nextOffset == identifier.NoOffset {
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -40,6 +40,9 @@
 // peerCheckInterval is how often WatchPeers looks for live and silent peers.
 const peerCheckInterval = 250 * time.Millisecond
 
+// expiryInterval is how often WatchPeers drops the state of long silent peers.
+const expiryInterval = 5 * time.Second
+
 // Identity describes this daemon to the other daemons.
 type Identity struct {
 	Self epochtracker.Member
@@ -98,9 +101,9 @@
 	ExtendHeartbeat func(heartbeat *heartbeater.Heartbeat)
 	// AddMarks adds to a heartbeat which relayed data this daemon already has, so
 	// that the receiver relays only newer data. BuildRelay returns the data to relay
-	// to the sender of a heartbeat, or nil.
+	// to the sender of a heartbeat, or nil; self is the response without that data.
 	AddMarks   func(heartbeat *heartbeater.Heartbeat, to identifier.Address)
-	BuildRelay func(from heartbeater.Heartbeat) *heartbeater.Relay
+	BuildRelay func(from, self heartbeater.Heartbeat) *heartbeater.Relay
 	// OnHeartbeat passes a received heartbeat to other components.
 	OnHeartbeat func(heartbeat heartbeater.Heartbeat)
 	// MonitoredDaemons returns the daemons outside the epoch whose liveness is
@@ -136,7 +139,7 @@
 		ExtendHeartbeat:  func(*heartbeater.Heartbeat) {},
 		OnHeartbeat:      func(heartbeater.Heartbeat) {},
 		AddMarks:         func(*heartbeater.Heartbeat, identifier.Address) {},
-		BuildRelay:       func(heartbeater.Heartbeat) *heartbeater.Relay { return nil },
+		BuildRelay:       func(_, _ heartbeater.Heartbeat) *heartbeater.Relay { return nil },
 		MonitoredDaemons: func() []epochtracker.Member { return nil },
 		IsInitialized:    func() bool { return true },
 		removed:          make(chan struct{}),
--- a/process/fleet/peers.go
+++ b/process/fleet/peers.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -52,7 +53,7 @@
 	}
 	f.processHeartbeat(heartbeat)
 	own := f.OwnHeartbeat()
-	own.Relay = f.BuildRelay(heartbeat)
+	own.Relay = f.BuildRelay(heartbeat, own)
 	return own
 }
 
@@ -93,11 +94,16 @@
 	f.OnHeartbeat(heartbeat)
 }
 
-// WatchPeers calls observe periodically with the live daemons other than this one,
-// and drops the state of those that have long been silent, until the context ends.
-func (f *Fleet) WatchPeers(ctx context.Context, observe func(live []identifier.Incarnation)) error {
+// WatchPeers calls observe periodically, and drops the state of daemons that have long
+// been silent, until the context ends.
+func (f *Fleet) WatchPeers(ctx context.Context, observe func()) error {
+	expiredAt := f.Clock.Now()
 	return repeater.Every(ctx, f.Clock, peerCheckInterval, func() {
-		observe(f.LiveIncarnations())
+		observe()
+		if f.Clock.Since(expiredAt) < expiryInterval {
+			return
+		}
+		expiredAt = f.Clock.Now()
 		for _, incarnation := range f.Peers.Expire(f.monitored()) {
 			f.Confirmer.Forget(incarnation)
 			f.Borrower.Forget(incarnation)
@@ -118,7 +124,8 @@
 // IsLive reports whether another daemon was heard recently, by this daemon or by
 // a live hub.
 func (f *Fleet) IsLive(incarnation identifier.Incarnation) bool {
-	return slices.Contains(f.LiveIncarnations(), incarnation)
+	_, isLive := f.Peers.FindLive(incarnation)
+	return isLive
 }
 
 // HasLowestIncarnation reports whether this daemon's incarnation sorts before
@@ -178,12 +185,13 @@
 
 // lenders returns the live members of the epoch other than this daemon.
 func (f *Fleet) lenders() []heartbeater.Peer {
-	epoch := f.EpochTracker.Current()
 	var lenders []heartbeater.Peer
-	for _, peer := range f.Peers.Live() {
-		if epoch.HasMember(peer.Incarnation) {
+	for _, member := range f.EpochTracker.Current().Members {
+		peer, isLive := f.Peers.FindLive(member.Incarnation)
+		if isLive {
 			lenders = append(lenders, peer)
 		}
 	}
+	slices.SortFunc(lenders, func(a, b heartbeater.Peer) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
 	return lenders
 }
--- /dev/null
+++ b/process/gateway/fleet_benchmark_test.go
@@ -0,0 +1,300 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"sassafraspass.dev/sassafraspass/connection/appender"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/configurer"
+	"sassafraspass.dev/sassafraspass/process/leaser"
+	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/process/sharer"
+	"sassafraspass.dev/sassafraspass/request/placer"
+	"sassafraspass.dev/sassafraspass/request/proxier"
+	"sassafraspass.dev/sassafraspass/version/parser"
+	"sassafraspass.dev/sassafraspass/version/reducer"
+)
+
+// memoryStore is the platform's store in memory, without a network.
+type memoryStore struct {
+	mu        sync.Mutex
+	vms       map[identifier.VMName]appender.VM
+	epochs    []appender.Record
+	upstreams []UpstreamChange
+	calls     int
+}
+
+var errConflict = errors.New("the topic has newer records")
+
+func (s *memoryStore) readVMs(context.Context) (vms []appender.VM, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	for _, vm := range s.vms {
+		vms = append(vms, vm)
+	}
+	return vms, nil
+}
+
+func (s *memoryStore) registerVM(_ context.Context, vm appender.VM) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	s.vms[vm.Name] = vm
+	return nil
+}
+
+func (s *memoryStore) appendEpoch(_ context.Context, data []byte, nextOffset identifier.Offset) (identifier.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if identifier.Offset(len(s.epochs)) != nextOffset {
+		return 0, errConflict
+	}
+	s.epochs = append(s.epochs, appender.Record{Offset: nextOffset, Data: data})
+	return nextOffset, nil
+}
+
+// storePollInterval is how often a waiting read looks for new records.
+const storePollInterval = 20 * time.Millisecond
+
+// await calls read until it returns true or wait has passed.
+func (s *memoryStore) await(ctx context.Context, wait time.Duration, read func() bool) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	timeout := time.After(wait)
+	for {
+		s.mu.Lock()
+		found := read()
+		s.mu.Unlock()
+		if found {
+			return
+		}
+		select {
+		case <-time.After(storePollInterval):
+		case <-timeout:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *memoryStore) readEpochs(ctx context.Context, _ identifier.StreamName, from identifier.Offset, _ int, wait time.Duration) (batch appender.Batch, err error) {
+	s.await(ctx, wait, func() bool {
+		batch.Records = slices.Clone(s.epochs[min(len(s.epochs), int(max(0, from))):])
+		batch.NextOffset = identifier.Offset(len(s.epochs))
+		return len(batch.Records) > 0
+	})
+	return batch, ctx.Err()
+}
+
+func (s *memoryStore) readUpstreams(ctx context.Context, from identifier.Offset, wait time.Duration) (batch UpstreamBatch, err error) {
+	s.await(ctx, wait, func() bool {
+		batch.Changes = slices.Clone(s.upstreams[min(len(s.upstreams), int(max(0, from))):])
+		batch.NextOffset = identifier.Offset(len(s.upstreams))
+		return len(batch.Changes) > 0
+	})
+	return batch, ctx.Err()
+}
+
+// report appends a record of every upstream, as upstreams do at each of their
+// heartbeats.
+func (s *memoryStore) report(count int, service identifier.ServiceName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range count {
+		name := identifier.UpstreamName(fmt.Sprintf("engine-%d", i))
+		role := parser.RoleDecode
+		if i%4 == 0 {
+			role = parser.RolePrefill
+		}
+		offset := identifier.Offset(len(s.upstreams))
+		s.upstreams = append(s.upstreams, UpstreamChange{Name: name, Offset: offset, Entry: registrar.Entry{
+			Name: name, Service: service, Address: identifier.Address(fmt.Sprintf("127.0.0.1:%d", 20000+i)), Zone: "z",
+			State: registrar.StateReady, Role: role, Slots: 12, StartedAt: time.UnixMilli(1), Offset: offset,
+		}})
+	}
+}
+
+// benchmarkService is the service whose requests the benchmark places.
+const benchmarkService = identifier.ServiceName("llm")
+
+func (s *memoryStore) drivers() Drivers {
+	version := &reducer.Version{
+		Number: 1,
+		Services: map[identifier.ServiceName]parser.Service{benchmarkService: {
+			Name: benchmarkService, Engine: &parser.EngineProfile{Slots: 12, KVCacheCapacity: 70_000, TokensPerEvent: 1, HandleTTL: 5 * time.Second},
+		}},
+	}
+	isKnown := func(from identifier.Offset) bool { return from != identifier.NoOffset }
+	return Drivers{
+		ReadVMs:      s.readVMs,
+		RegisterVM:   s.registerVM,
+		DeregisterVM: func(context.Context, identifier.VMName) error { return nil },
+		AppendEpoch:  s.appendEpoch,
+		ReadEpochs:   s.readEpochs,
+		NewestEpoch:  func(context.Context) ([]byte, identifier.Offset, error) { return nil, identifier.NoOffset, nil },
+		ReadVersions: func(ctx context.Context, from identifier.Offset, wait time.Duration) (VersionBatch, error) {
+			if !isKnown(from) {
+				return VersionBatch{Versions: []*reducer.Version{version}, NextOffset: 1}, nil
+			}
+			s.await(ctx, wait, func() bool { return false })
+			return VersionBatch{NextOffset: from}, ctx.Err()
+		},
+		ReadUpstreams: s.readUpstreams,
+		NewestClaim:   func(context.Context, string) (leaser.NewestClaim, error) { return leaser.NewestClaim{}, nil },
+		AppendClaim: func(context.Context, string, []byte, identifier.Offset) (identifier.Offset, error) {
+			return 0, errConflict
+		},
+		ReadQuarantines:    func(context.Context) (sharer.RecordBatch, error) { return sharer.RecordBatch{}, nil },
+		IsMatchingResponse: func(http.Header, http.Header) bool { return true },
+		CallerHandler: func(*proxier.Proxier, func() int64) Handler {
+			return http.NotFoundHandler()
+		},
+		DirectoryHandler: func(func(identifier.ZoneName) []identifier.Address, time.Duration) Handler {
+			return http.NotFoundHandler()
+		},
+		ReadinessHandler: func(func() bool) http.HandlerFunc { return http.NotFound },
+	}
+}
+
+// startFleet starts daemons in this process, which exchange heartbeats over loopback,
+// and returns them once all serve.
+func startFleet(tb testing.TB, count int, store *memoryStore) (daemons []*Gateway) {
+	tb.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	tb.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	for i := range count {
+		host := fmt.Sprintf("127.%d.%d.%d", 40+count%7, 1+i/200, 1+i%200)
+		address := func(port int) identifier.Address { return identifier.Address(fmt.Sprintf("%s:%d", host, port)) }
+		settings := configurer.Settings{
+			VM: identifier.VMName(fmt.Sprintf("vm-%03d", i)), Zone: identifier.ZoneName(fmt.Sprintf("z-%d", i%3)), LogAddress: address(1),
+			CallerAddress: address(8360), PeerAddress: address(7500), OperatorAddress: address(7501),
+			EntryMaxAge: time.Second, Assertion: configurer.AssertCount,
+			Gateway: &configurer.Gateway{
+				ReadinessAddress: address(8365), DirectoryAddress: address(8364), GracePeriod: time.Millisecond, CPUCores: 0.2,
+				RetryWindow: time.Second, LimitToleranceWindow: time.Second,
+			},
+		}
+		daemon, cleanup, err := New(settings, store.drivers(), slog.New(slog.DiscardHandler), clockwork.NewRealClock())
+		if err != nil {
+			tb.Fatal(err)
+		}
+		daemons = append(daemons, daemon)
+		running.Go(func() {
+			_ = daemon.Run(ctx)
+			cleanup()
+		})
+	}
+	deadline := time.Now().Add(time.Minute)
+	for _, daemon := range daemons {
+		for !daemon.acceptsRequests() || len(daemon.Peers.Live()) < count-1 {
+			if time.Now().After(deadline) {
+				tb.Fatalf("%s does not serve: state %s, %d of %d daemons", daemon.Identity.Self.VM, daemon.State(), len(daemon.Peers.Live())+1, count)
+			}
+			time.Sleep(storePollInterval)
+		}
+	}
+	return daemons
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+const (
+	// fleetPeriod is how long a fleet is observed. Upstreams report every
+	// reportPeriod.
+	fleetPeriod  = 6 * time.Second
+	reportPeriod = 1200 * time.Millisecond
+	// Each daemon lists its serving addresses and places a request this often under
+	// load.
+	loadedPeriod = 100 * time.Millisecond
+	engineCount  = 40
+)
+
+// BenchmarkFleet measures what a daemon costs by the size of its fleet. The processor
+// time of all daemons is that of this process.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []int{24, 70, 200} {
+		for _, loaded := range []bool{false, true} {
+			b.Run(fmt.Sprintf("daemons=%d/loaded=%t", size, loaded), func(b *testing.B) {
+				benchmarkFleet(b, size, loaded)
+			})
+		}
+	}
+}
+
+func benchmarkFleet(b *testing.B, size int, loaded bool) {
+	store := &memoryStore{vms: make(map[identifier.VMName]appender.VM)}
+	store.report(engineCount, benchmarkService)
+	before := processorTime()
+	daemons := startFleet(b, size, store)
+	starting := processorTime() - before
+	done := make(chan struct{})
+	var load sync.WaitGroup
+	load.Go(func() { every(done, reportPeriod, func() { store.report(engineCount, benchmarkService) }) })
+	if loaded {
+		for _, daemon := range daemons {
+			load.Go(func() { every(done, loadedPeriod, func() { placeOnce(daemon) }) })
+		}
+	}
+	time.Sleep(time.Second)
+	before = processorTime()
+	startedAt := time.Now()
+	b.ResetTimer()
+	for b.Loop() {
+		time.Sleep(fleetPeriod)
+	}
+	elapsed := time.Since(startedAt)
+	used := processorTime() - before
+	b.ReportMetric(100*used.Seconds()/elapsed.Seconds()/float64(size), "%core/daemon")
+	b.ReportMetric(1000*starting.Seconds()/float64(size), "start-ms/daemon")
+	close(done)
+	load.Wait()
+}
+
+// placeOnce does what the daemon computes for one request besides the exchange with
+// the engines.
+func placeOnce(daemon *Gateway) {
+	daemon.servingAddresses("z")
+	key := daemon.nextPlacementKey()
+	request := placer.Request{Key: key, PromptTokens: 1000, MaxOutput: 50, MaxWait: time.Second, TimeToDeadline: time.Second}
+	_, refusal := daemon.broker.Acquire(context.Background(), benchmarkService, request)
+	if refusal == nil {
+		daemon.broker.ForwardReport(benchmarkService, placer.Report{Key: key, Step: placer.StepEnded})
+	}
+}
+
+func every(done <-chan struct{}, period time.Duration, do func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			do()
+		case <-done:
+			return
+		}
+	}
+}
--- a/process/gateway/hubs.go
+++ b/process/gateway/hubs.go
@@ -98,24 +98,26 @@
 // has, and up to which offset it knows the upstreams.
 func (g *Gateway) addMarks(heartbeat *heartbeater.Heartbeat, to identifier.Address) {
 	hub := g.Peers.IncarnationAt(to)
-	heartbeat.Marks = heartbeater.Marks{RosterOf: hub, Roster: g.Peers.RosterRevision(hub), Upstreams: g.registrar.NextOffset()}
+	heartbeat.Marks = heartbeater.Marks{
+		RosterOf:             hub,
+		Roster:               g.Peers.RosterRevision(hub),
+		AcceptsRosterChanges: true,
+		Upstreams:            g.registrar.NextOffset(),
+	}
 }
 
 // buildRelay returns the roster and upstream changes that the sender of a
-// heartbeat lacks.
-func (g *Gateway) buildRelay(from heartbeater.Heartbeat) *heartbeater.Relay {
+// heartbeat lacks. self is this daemon's own heartbeat.
+func (g *Gateway) buildRelay(from, self heartbeater.Heartbeat) *heartbeater.Relay {
 	knownRevision := int64(0)
 	if from.Marks.RosterOf == g.Identity.Self.Incarnation {
 		knownRevision = from.Marks.Roster
 	}
-	heartbeats, revision, changed := g.Peers.RosterSince(g.OwnHeartbeat(), knownRevision)
-	relay := &heartbeater.Relay{Upstreams: g.registrar.UpdateSince(from.Marks.Upstreams)}
-	if changed {
-		relay.HasRoster = true
-		relay.Roster = revision
-		relay.Members = heartbeats
+	roster := g.Peers.RosterSince(self, knownRevision)
+	if roster != nil && !from.Marks.AcceptsRosterChanges {
+		roster = g.Peers.RosterSince(self, 0)
 	}
-	return relay
+	return &heartbeater.Relay{Roster: roster, Upstreams: g.registrar.UpdateSince(from.Marks.Upstreams)}
 }
 
 // applyRelay applies the evidence against prompt parts in a heartbeat, and the roster
@@ -126,9 +128,10 @@
 		return
 	}
 	g.Peers.ConfirmRoster(heartbeat.Incarnation)
-	if heartbeat.Relay.HasRoster {
-		g.Peers.SetRoster(heartbeat.Incarnation, heartbeat.Relay.Roster, heartbeat.Relay.Members)
-		logger.For(g.Log, logger.Members).Debug("A hub sent the list of daemons that it hears.", "hub", heartbeat.VM, "daemons", len(heartbeat.Relay.Members))
+	roster := heartbeat.Relay.Roster
+	if roster != nil {
+		g.Peers.ApplyRoster(heartbeat.Incarnation, *roster)
+		logger.For(g.Log, logger.Members).Debug("A hub sent changes of the list of daemons that it hears.", "hub", heartbeat.VM, "changed", len(roster.Members), "departed", len(roster.Departed), "whole", roster.Base == 0)
 	}
 	if heartbeat.Relay.Upstreams != nil {
 		g.registrar.ApplyUpdate(*heartbeat.Relay.Upstreams)
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -93,8 +93,9 @@
 	if g.acceptsRequests() && g.isHub() {
 		all = append(all, rankedCandidate{cpuCores: g.Identity.CPUCores, hash: rendezvousHash(service, g.currentSettings().VM)})
 	}
-	for _, peer := range g.Peers.Live() {
-		if peer.State != heartbeater.StateServing || !epoch.HasMember(peer.Incarnation) {
+	for _, member := range epoch.Members {
+		peer, isLive := g.Peers.FindLive(member.Incarnation)
+		if !isLive || peer.State != heartbeater.StateServing {
 			continue
 		}
 		incarnation := peer.Incarnation
@@ -156,9 +157,9 @@
 // watchPeers keeps the placer up to date: it releases the placements of daemons that
 // are no longer live and sets the reported memory usage.
 func (g *Gateway) watchPeers(ctx context.Context) error {
-	return g.WatchPeers(ctx, func(live []identifier.Incarnation) {
+	return g.WatchPeers(ctx, func() {
 		g.placer.ReleaseDeadRequesters(func(holder identifier.Incarnation) bool {
-			return holder == g.Identity.Self.Incarnation || slices.Contains(live, holder)
+			return holder == g.Identity.Self.Incarnation || g.IsLive(holder)
 		})
 		usages := g.memoryUsages()
 		for name, service := range g.Follower.Version().Services {
--- a/process/heartbeater/heartbeat.go
+++ b/process/heartbeater/heartbeat.go
@@ -62,6 +62,9 @@
 	// RosterOf is the hub that the roster came from, and Roster its revision there.
 	RosterOf identifier.Incarnation
 	Roster   int64
+	// AcceptsRosterChanges is set if the sender can apply the changes of a roster.
+	// Daemons of earlier builds need the whole roster.
+	AcceptsRosterChanges bool
 	// Upstreams is the log offset up to which the list of upstreams is known.
 	Upstreams identifier.Offset
 }
@@ -69,11 +72,9 @@
 // Relay is the data that a hub forwards. Only hubs hear all daemons and always read
 // the log.
 type Relay struct {
-	// HasRoster is set if Members lists the hub itself and all daemons that it hears.
-	// Roster is the revision of that list.
-	HasRoster bool
-	Roster    int64
-	Members   []Heartbeat
+	// Roster holds the changes of the list of the daemons that the hub hears, itself
+	// included. It is nil if the receiver's copy is current.
+	Roster *RosterUpdate
 	// Upstreams holds the changes after the receiver's mark. It is nil if the hub's
 	// own list is incomplete or older than that.
 	Upstreams *registrar.Update
--- a/process/heartbeater/peers.go
+++ b/process/heartbeater/peers.go
@@ -35,10 +35,9 @@
 	UnlistedTimeout = 8 * time.Second
 	// peerRetention is how long a silent daemon is remembered.
 	peerRetention = 10 * time.Minute
-	// liveCacheTTL is how long the list of live daemons is cached.
-	liveCacheTTL = 100 * time.Millisecond
-	// rosterCacheTTL is how long the roster of this daemon is cached.
-	rosterCacheTTL = 100 * time.Millisecond
+	// detailsInterval is how long the list of live daemons may lack changes of what
+	// their heartbeats say, other than their state and addresses.
+	detailsInterval = 100 * time.Millisecond
 	// refusalThreshold is how many consecutive heartbeats an address must refuse
 	// to prove its daemon gone.
 	refusalThreshold = 2
@@ -69,16 +68,16 @@
 	vms           []appender.VM
 	// rosters holds the newest roster of each hub.
 	rosters map[identifier.Incarnation]roster
-	// live caches the list of live daemons as of liveAt. isLiveStale is set if the
-	// list must be computed again even before liveCacheTTL has passed.
+	// live caches the list of live daemons as of liveAt, and liveIndex their indexes in
+	// it. It is computed again if isLiveStale is set, and after liveUntil, when the
+	// first of them may have become silent.
 	live        []Peer
+	liveIndex   map[identifier.Incarnation]int
 	liveAt      time.Time
+	liveUntil   time.Time
 	isLiveStale bool
-	// ownRoster caches this daemon's roster, that is, the daemons heard directly and
-	// this one, as of ownRosterAt. ownRevision increases whenever it changes.
-	ownRoster   []Heartbeat
-	ownRevision int64
-	ownRosterAt time.Time
+	// ownRoster is this daemon's roster: the daemons heard directly and this one.
+	ownRoster ownRoster
 }
 
 // lastResponse says which daemon responded at an address, and when the heartbeat
@@ -107,6 +106,8 @@
 		refusals:       make(map[identifier.Address]refusalStreak),
 		unlistedSince:  make(map[identifier.VMName]time.Time),
 		rosters:        make(map[identifier.Incarnation]roster),
+		isLiveStale:    true,
+		ownRoster:      newOwnRoster(),
 	}
 }
 
@@ -119,9 +120,17 @@
 		return false
 	}
 	old, known := p.peers[heartbeat.Incarnation]
-	wasSilent := !known || p.clock.Now().Sub(old.HeardAt) > LivenessTimeout
-	p.isLiveStale = p.isLiveStale || wasSilent || !isSameRosterEntry(old.Heartbeat, heartbeat) || old.Drained != heartbeat.Drained
-	p.peers[heartbeat.Incarnation] = Peer{Heartbeat: heartbeat, HeardAt: p.clock.Now()}
+	now := p.clock.Now()
+	wasSilent := !known || now.Sub(old.HeardAt) > LivenessTimeout
+	isRosterChanged := wasSilent || !isSameRosterEntry(old.Heartbeat, heartbeat)
+	p.ownRoster.isStale = p.ownRoster.isStale || isRosterChanged
+	p.isLiveStale = p.isLiveStale || isRosterChanged || old.Drained != heartbeat.Drained
+	hasNewDetails := old.Epoch != heartbeat.Epoch || old.Version != heartbeat.Version || !slices.Equal(old.Loads, heartbeat.Loads)
+	if hasNewDetails {
+		p.liveUntil = minTime(p.liveUntil, p.liveAt.Add(detailsInterval))
+	}
+	heartbeat.Relay = nil // it has been applied and may be large
+	p.peers[heartbeat.Incarnation] = Peer{Heartbeat: heartbeat, HeardAt: now}
 	if heartbeat.Drained {
 		p.drained[heartbeat.Incarnation] = true
 	}
@@ -179,46 +188,59 @@
 }
 
 // Live returns the daemons heard within LivenessTimeout, directly or through a
-// hub's roster, sorted by incarnation. The list is shared and must not be changed.
+// hub's roster, sorted by incarnation. Their HeardAt may be older than the newest
+// heartbeat. The list is shared and must not be changed.
 func (p *Peers) Live() []Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.clock.Now()
-	if !p.isLiveStale && now.Sub(p.liveAt) < liveCacheTTL {
-		return p.live
-	}
-	p.live = p.computeLive()
-	p.liveAt = now
-	p.isLiveStale = false
+	p.refreshLive()
 	return p.live
 }
 
-func (p *Peers) computeLive() []Peer {
-	live := p.heardDirectly()
-	known := make(map[identifier.Incarnation]bool, len(live))
-	for _, peer := range live {
-		known[peer.Incarnation] = true
-	}
-	for _, peer := range p.heardThroughHubs() {
-		if !known[peer.Incarnation] && peer.Incarnation != p.self {
-			known[peer.Incarnation] = true
-			live = append(live, peer)
-		}
+// FindLive returns a daemon of the list of Live.
+func (p *Peers) FindLive(incarnation identifier.Incarnation) (Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refreshLive()
+	i, ok := p.liveIndex[incarnation]
+	if !ok {
+		return Peer{}, false
 	}
-	slices.SortFunc(live, func(a, b Peer) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
-	return live
+	return p.live[i], true
 }
 
-// heardDirectly returns the daemons whose own heartbeats arrived within
-// LivenessTimeout.
-func (p *Peers) heardDirectly() (live []Peer) {
+// refreshLive computes the list of live daemons if it may have changed. The list is
+// the same as long as no daemon becomes silent, so its cost depends on changes and not
+// on heartbeats.
+func (p *Peers) refreshLive() {
 	now := p.clock.Now()
-	for _, peer := range p.peers {
+	if !p.isLiveStale && !now.After(p.liveUntil) {
+		return
+	}
+	live := make([]Peer, 0, len(p.live)+1)
+	index := make(map[identifier.Incarnation]int, len(p.live)+1)
+	for incarnation, peer := range p.peers {
 		if now.Sub(peer.HeardAt) <= LivenessTimeout {
+			index[incarnation] = len(live)
 			live = append(live, peer)
 		}
 	}
-	return live
+	live = p.addHeardThroughHubs(live, index, now)
+	slices.SortFunc(live, func(a, b Peer) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	p.liveUntil = now.Add(LivenessTimeout)
+	for i := range live {
+		index[live[i].Incarnation] = i
+		p.liveUntil = minTime(p.liveUntil, live[i].HeardAt.Add(LivenessTimeout))
+	}
+	p.live, p.liveIndex, p.liveAt = live, index, now
+	p.isLiveStale = false
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // IncarnationAt returns the daemon that last responded at an address, or "".
@@ -231,14 +253,14 @@
 // Unlisted returns the live daemons whose VMs are missing from the platform's
 // list.
 func (p *Peers) Unlisted() []identifier.Incarnation {
-	var unlisted []identifier.Incarnation
-	live := p.Live()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.unlistedSince) == 0 {
 		return nil
 	}
-	for _, peer := range live {
+	p.refreshLive()
+	var unlisted []identifier.Incarnation
+	for _, peer := range p.live {
 		_, isMissing := p.unlistedSince[peer.VM]
 		if isMissing {
 			unlisted = append(unlisted, peer.Incarnation)
--- a/process/heartbeater/roster.go
+++ b/process/heartbeater/roster.go
@@ -2,36 +2,90 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"sassafraspass.dev/sassafraspass/identifier"
 )
 
+// RosterUpdate brings a copy of a hub's roster to Revision, with the changes after
+// Base or, if Base is zero, with the whole roster.
+type RosterUpdate struct {
+	Revision int64
+	Base     int64
+	// Members holds the daemons that were added or changed, and Departed those that
+	// are no longer heard.
+	Members  []Heartbeat
+	Departed []identifier.Incarnation
+}
+
 // roster is the list of the daemons that a hub hears.
 type roster struct {
-	revision   int64
-	heartbeats []Heartbeat
+	revision int64
+	members  map[identifier.Incarnation]Heartbeat
 	// confirmedAt is when the hub last confirmed that the roster is current.
 	confirmedAt time.Time
 }
 
-// heardThroughHubs returns the daemons in the rosters that hubs confirmed within
-// LivenessTimeout. Rosters may disagree about a daemon's state: entries that are
-// leaving come first, because the other hubs may not know yet that the daemon is.
-func (p *Peers) heardThroughHubs() (live []Peer) {
-	now := p.clock.Now()
+// ownRoster is the list of the daemons that this daemon hears directly and of itself,
+// with the revision at which each of them last changed.
+type ownRoster struct {
+	revision int64
+	members  map[identifier.Incarnation]rosterMember
+	// departed holds the revisions at which daemons were removed. Revisions up to
+	// firstKnown are no longer known, and copies of these need the whole roster.
+	departed   map[identifier.Incarnation]int64
+	firstKnown int64
+	// self is this daemon's own entry. The roster is computed again if isStale is set,
+	// and from freshUntil on, when the first of the others may have become silent.
+	self       Heartbeat
+	isStale    bool
+	freshUntil time.Time
+}
+
+type rosterMember struct {
+	heartbeat Heartbeat
+	revision  int64
+}
+
+// maxDeparted limits the removals that a hub remembers for updates.
+const maxDeparted = 1024
+
+func newOwnRoster() ownRoster {
+	return ownRoster{
+		isStale:  true,
+		members:  make(map[identifier.Incarnation]rosterMember),
+		departed: make(map[identifier.Incarnation]int64),
+	}
+}
+
+// addHeardThroughHubs adds the daemons in the rosters that hubs confirmed within
+// LivenessTimeout, except those that were heard directly, whose indexes are given.
+// Rosters may disagree about a daemon's state: an entry that is leaving replaces
+// others, because the other hubs may not know yet that the daemon is.
+func (p *Peers) addHeardThroughHubs(live []Peer, index map[identifier.Incarnation]int, now time.Time) []Peer {
+	directCount := len(live)
 	for _, r := range p.rosters {
 		if now.Sub(r.confirmedAt) > LivenessTimeout {
 			continue
 		}
-		for _, heartbeat := range r.heartbeats {
-			live = append(live, Peer{Heartbeat: heartbeat, HeardAt: r.confirmedAt})
+		for incarnation, heartbeat := range r.members {
+			i, isKnown := index[incarnation]
+			switch {
+			case incarnation == p.self || isKnown && i < directCount:
+			case !isKnown:
+				index[incarnation] = len(live)
+				live = append(live, Peer{Heartbeat: heartbeat, HeardAt: r.confirmedAt})
+			default:
+				known := &live[i]
+				order := cmp.Or(cmp.Compare(stateRank[heartbeat.State], stateRank[known.State]), known.HeardAt.Compare(r.confirmedAt))
+				if order < 0 {
+					*known = Peer{Heartbeat: heartbeat, HeardAt: r.confirmedAt}
+				}
+			}
 		}
 	}
-	slices.SortStableFunc(live, func(a, b Peer) int {
-		return cmp.Compare(stateRank[a.State], stateRank[b.State])
-	})
 	return live
 }
 
@@ -39,36 +93,98 @@
 // use: the one with the lowest rank.
 var stateRank = map[State]int{StateLeaving: 0, StateStarting: 1, StateServing: 2}
 
-// RosterSince returns this daemon's roster, to which it adds self, the roster's
-// revision, and whether that differs from knownRevision.
-func (p *Peers) RosterSince(self Heartbeat, knownRevision int64) (heartbeats []Heartbeat, revision int64, changed bool) {
+// RosterSince returns the changes of this daemon's roster, to which it adds self,
+// after a revision, or nil if there are none. Without knowledge of that revision it
+// returns the whole roster.
+func (p *Peers) RosterSince(self Heartbeat, known int64) *RosterUpdate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.refreshOwnRoster(self)
+	own := &p.ownRoster
+	if known == own.revision {
+		return nil
+	}
+	if known < own.firstKnown || known > own.revision {
+		known = 0
+	}
+	update := &RosterUpdate{Revision: own.revision, Base: known}
+	for _, member := range own.members {
+		if member.revision > known {
+			update.Members = append(update.Members, member.heartbeat)
+		}
+	}
+	if known == 0 {
+		return update
+	}
+	for incarnation, revision := range own.departed {
+		if revision > known {
+			update.Departed = append(update.Departed, incarnation)
+		}
+	}
+	return update
+}
+
+// refreshOwnRoster computes this daemon's roster if it may have changed.
+func (p *Peers) refreshOwnRoster(self Heartbeat) {
+	own := &p.ownRoster
 	now := p.clock.Now()
-	if now.Sub(p.ownRosterAt) < rosterCacheTTL {
-		return p.ownRoster, p.ownRevision, p.ownRevision != knownRevision
-	}
-	p.ownRosterAt = now
-	var heard []Heartbeat
-	for _, peer := range append(p.heardDirectly(), Peer{Heartbeat: self}) {
-		heard = append(heard, Heartbeat{
-			Incarnation: peer.Incarnation,
-			VM:          peer.VM,
-			Zone:        peer.Zone,
-			Peer:        peer.Peer,
-			Caller:      peer.Caller,
-			State:       peer.State,
-			Weight:      peer.Weight,
-			Version:     identifier.NoOffset,
-			Epoch:       identifier.NoOffset,
-		})
-	}
-	slices.SortFunc(heard, func(a, b Heartbeat) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
-	if !slices.EqualFunc(heard, p.ownRoster, isSameRosterEntry) {
-		p.ownRoster = heard
-		p.ownRevision++
-	}
-	return p.ownRoster, p.ownRevision, p.ownRevision != knownRevision
+	if !own.isStale && isSameRosterEntry(self, own.self) && !now.After(own.freshUntil) {
+		return
+	}
+	own.isStale, own.self = false, self
+	own.freshUntil = now.Add(LivenessTimeout)
+	next := own.revision + 1
+	heard := map[identifier.Incarnation]bool{self.Incarnation: true}
+	own.put(self, next)
+	for incarnation, peer := range p.peers {
+		silentFrom := peer.HeardAt.Add(LivenessTimeout)
+		if now.After(silentFrom) {
+			continue
+		}
+		own.freshUntil = minTime(own.freshUntil, silentFrom)
+		heard[incarnation] = true
+		own.put(peer.Heartbeat, next)
+	}
+	for incarnation := range own.members {
+		if !heard[incarnation] {
+			delete(own.members, incarnation)
+			own.departed[incarnation] = next
+			own.revision = next
+		}
+	}
+	own.forgetOldestDepartures()
+}
+
+// put adds or replaces an entry at a revision, unless it is unchanged.
+func (own *ownRoster) put(heartbeat Heartbeat, revision int64) {
+	old, isKnown := own.members[heartbeat.Incarnation]
+	if isKnown && isSameRosterEntry(old.heartbeat, heartbeat) {
+		return
+	}
+	entry := Heartbeat{
+		Incarnation: heartbeat.Incarnation,
+		VM:          heartbeat.VM,
+		Zone:        heartbeat.Zone,
+		Peer:        heartbeat.Peer,
+		Caller:      heartbeat.Caller,
+		State:       heartbeat.State,
+		Weight:      heartbeat.Weight,
+		Version:     identifier.NoOffset,
+		Epoch:       identifier.NoOffset,
+	}
+	own.members[heartbeat.Incarnation] = rosterMember{heartbeat: entry, revision: revision}
+	delete(own.departed, heartbeat.Incarnation)
+	own.revision = revision
+}
+
+// forgetOldestDepartures keeps departed bounded.
+func (own *ownRoster) forgetOldestDepartures() {
+	if len(own.departed) <= maxDeparted {
+		return
+	}
+	revisions := slices.Sorted(maps.Values(own.departed))
+	own.firstKnown = revisions[len(revisions)/2]
+	maps.DeleteFunc(own.departed, func(_ identifier.Incarnation, revision int64) bool { return revision <= own.firstKnown })
 }
 
 // isSameRosterEntry reports whether two heartbeats agree in all fields whose change
@@ -77,11 +193,27 @@
 	return a.Incarnation == b.Incarnation && a.State == b.State && a.Caller == b.Caller && a.Peer == b.Peer
 }
 
-// SetRoster stores the newest roster of a hub.
-func (p *Peers) SetRoster(hub identifier.Incarnation, revision int64, heartbeats []Heartbeat) {
+// ApplyRoster applies an update of a hub's roster. It ignores one with a base other
+// than the stored revision, after which the hub is asked for the whole roster.
+func (p *Peers) ApplyRoster(hub identifier.Incarnation, update RosterUpdate) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.rosters[hub] = roster{revision: revision, heartbeats: heartbeats, confirmedAt: p.clock.Now()}
+	r, isKnown := p.rosters[hub]
+	if update.Base != 0 && (!isKnown || r.revision != update.Base) {
+		return
+	}
+	if update.Base == 0 {
+		r.members = make(map[identifier.Incarnation]Heartbeat, len(update.Members))
+	}
+	for _, heartbeat := range update.Members {
+		r.members[heartbeat.Incarnation] = heartbeat
+	}
+	for _, incarnation := range update.Departed {
+		delete(r.members, incarnation)
+	}
+	r.revision = update.Revision
+	r.confirmedAt = p.clock.Now()
+	p.rosters[hub] = r
 	p.isLiveStale = true
 }
 
--- a/process/proposer/proposer.go
+++ b/process/proposer/proposer.go
@@ -275,6 +275,9 @@
 
 // joiners returns the daemons to add to an epoch of which stayingCount members stay.
 func (p *Proposer) joiners(epoch epochtracker.Epoch, stayingCount int) (joining []epochtracker.Member) {
+	if p.MaxMembers > 0 && stayingCount >= p.MaxMembers {
+		return nil
+	}
 	var candidates []heartbeater.Heartbeat
 	for _, peer := range p.Peers.Live() {
 		canJoin := peer.State != heartbeater.StateLeaving && !peer.Drained
--- a/process/server/peers.go
+++ b/process/server/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"sassafraspass.dev/sassafraspass/connection/appender"
@@ -58,11 +57,12 @@
 // watchPeers passes changes of the live peers and of the VMs to the components
 // that depend on them, until the context ends.
 func (s *Server) watchPeers(ctx context.Context) error {
-	return s.WatchPeers(ctx, func(live []identifier.Incarnation) {
+	return s.WatchPeers(ctx, func() {
+		live := s.LiveIncarnations()
 		draining := drainingVMs(s.Peers.VMs())
 		s.services.picker.SetDrainingVMs(draining)
 		s.engines.coordinator.ReleaseDeadRequesters(func(requester identifier.Incarnation) bool {
-			return requester == s.Identity.Self.Incarnation || slices.Contains(live, requester)
+			return requester == s.Identity.Self.Incarnation || s.IsLive(requester)
 		})
 		s.engines.scheduler.Update(func(p *planner.Planner, _ time.Time) {
 			p.DropLoadsOfDeadDaemons(live)
