Leave alone the upstreams that leave or ask for a pause

No code outside the callers' side read Retry-After or Server-Leaving of an upstream's response. A server that announced in its responses that it leaves was used until its record in the store changed, and an overloaded one that named a time got requests all the while.

request/abstainer holds both: departures by name and start of the process, so that neither the list, an older relay nor a lost store undoes them and a successor is used at once; and holds by the monotonic clock. Departures travel in heartbeats with their age. Everything that a daemon sends to upstreams goes through Proxier.Send, which asks the abstainer and reads each response: both stages of split requests, retries, resumption, release of handles, orders and reports. Placements leave out the engines that the asking daemon holds back without blocking the queue for the others. If nothing is left, a request is refused at once with the time until the first return; holds end spread over a quarter of their length, at most 1 s, so that daemons do not return together.

Tests, without network: a property test of the rule, and the load pattern of a service whose copies all shed at once (200 daemons, at most 20 return in the same 10 ms).

--- a/connection/messenger/codec.go
+++ b/connection/messenger/codec.go
@@ -33,6 +33,7 @@
 	msg.Marks = encodeMarks(heartbeat.Marks)
 	msg.Relay = encodeRelay(heartbeat.Relay)
 	msg.Suspicions = encodeSuspicions(heartbeat.Suspicions)
+	msg.Departures = encodeDepartures(heartbeat.Departures)
 	for _, load := range heartbeat.Loads {
 		msg.Loads = append(msg.Loads, &peerv1.EngineLoad{
 			Upstream: string(load.Upstream),
@@ -63,6 +64,7 @@
 	heartbeat.Marks = decodeMarks(msg.GetMarks())
 	heartbeat.Relay = decodeRelay(msg.GetRelay())
 	heartbeat.Suspicions = decodeSuspicions(msg.GetSuspicions())
+	heartbeat.Departures = decodeDepartures(msg.GetDepartures())
 	for _, load := range msg.GetLoads() {
 		heartbeat.Loads = append(heartbeat.Loads, heartbeater.EngineLoad{
 			Upstream: identifier.UpstreamName(load.GetUpstream()),
--- a/connection/messenger/passthrough.go
+++ b/connection/messenger/passthrough.go
@@ -62,6 +62,7 @@
 		OnTimeMs:        req.TimeToDeadline.Milliseconds(),
 		PatienceMs:      req.MaxWait.Milliseconds(),
 		Avoid:           toStrings(req.Avoid),
+		HeldBack:        toStrings(req.HeldBack),
 		PromptParts:     toStrings(req.PromptParts),
 	}))
 	if err != nil {
@@ -145,6 +146,7 @@
 		TimeToDeadline: time.Duration(msg.GetOnTimeMs()) * time.Millisecond,
 		MaxWait:        time.Duration(msg.GetPatienceMs()) * time.Millisecond,
 		Avoid:          fromStrings[identifier.UpstreamName](msg.GetAvoid()),
+		HeldBack:       fromStrings[identifier.UpstreamName](msg.GetHeldBack()),
 		PromptParts:    fromStrings[identifier.PromptPartID](msg.GetPromptParts()),
 	})
 	return connect.NewResponse(encodePlacement(grant, refusal)), nil
--- a/connection/messenger/passthrough_test.go
+++ b/connection/messenger/passthrough_test.go
@@ -41,6 +41,7 @@
 		TimeToDeadline: -300 * time.Millisecond,
 		MaxWait:        14 * time.Second,
 		Avoid:          []identifier.UpstreamName{"dec-2"},
+		HeldBack:       []identifier.UpstreamName{"dec-3"},
 	}
 	grant, refusal, err := client.Place(t.Context(), identifier.Address(server.Listener.Addr().String()), "llm", want)
 	is.NoErr(err)
--- a/connection/messenger/relays.go
+++ b/connection/messenger/relays.go
@@ -7,6 +7,7 @@
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/heartbeater"
 	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/request/abstainer"
 	"sassafraspass.dev/sassafraspass/version/parser"
 )
 
@@ -103,6 +104,28 @@
 	return relay
 }
 
+func encodeDepartures(departures []abstainer.Departure) (msgs []*peerv1.Departure) {
+	for _, departure := range departures {
+		msgs = append(msgs, &peerv1.Departure{
+			Upstream:   string(departure.Upstream),
+			BornUnixMs: departure.StartedAt.UnixMilli(),
+			AgeMs:      encodeAge(departure.Age),
+		})
+	}
+	return msgs
+}
+
+func decodeDepartures(msgs []*peerv1.Departure) (departures []abstainer.Departure) {
+	for _, msg := range msgs {
+		departures = append(departures, abstainer.Departure{
+			Upstream:  identifier.UpstreamName(msg.GetUpstream()),
+			StartedAt: time.UnixMilli(msg.GetBornUnixMs()),
+			Age:       decodeAge(msg.GetAgeMs()),
+		})
+	}
+	return departures
+}
+
 func decodeUpstream(msg *peerv1.Upstream) registrar.Entry {
 	return registrar.Entry{
 		Name:      identifier.UpstreamName(msg.GetName()),
--- a/process/fleet/peers.go
+++ b/process/fleet/peers.go
@@ -77,6 +77,10 @@
 	for i := range response.Suspicions {
 		response.Suspicions[i].Age += f.Clock.Since(sentAt)
 	}
+	response.Departures = slices.Clone(response.Departures)
+	for i := range response.Departures {
+		response.Departures[i].Age += f.Clock.Since(sentAt)
+	}
 	f.processHeartbeat(response)
 	f.Confirmer.RecordPeerReport(confirmer.PeerReport{
 		Incarnation:     response.Incarnation,
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -224,7 +224,7 @@
 		}
 		for name, service := range g.Follower.Version().Services {
 			if service.Engine != nil {
-				g.placer.Configure(name, *service.Engine, g.registrar.Ready(name))
+				g.placer.Configure(name, *service.Engine, g.abstainer.Staying(g.registrar.Ready(name)))
 			}
 		}
 		g.ejector.Retain(g.registrar.All())
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"sassafraspass.dev/sassafraspass/process/rebalancer"
 	"sassafraspass.dev/sassafraspass/process/registrar"
 	"sassafraspass.dev/sassafraspass/process/sharer"
+	"sassafraspass.dev/sassafraspass/request/abstainer"
 	"sassafraspass.dev/sassafraspass/request/broker"
 	"sassafraspass.dev/sassafraspass/request/budgeter"
 	"sassafraspass.dev/sassafraspass/request/ejector"
@@ -79,6 +80,7 @@
 	metricsHandler http.Handler
 
 	registrar    *registrar.Registrar
+	abstainer    *abstainer.Abstainer
 	placer       *placer.Placer
 	broker       *broker.Broker
 	rebalancer   *rebalancer.Rebalancer
--- a/process/gateway/hubs.go
+++ b/process/gateway/hubs.go
@@ -120,10 +120,11 @@
 	return &heartbeater.Relay{Roster: roster, Upstreams: g.registrar.UpdateSince(from.Marks.Upstreams)}
 }
 
-// applyRelay applies the evidence against prompt parts in a heartbeat, and the roster
-// and the upstream changes that a hub relays in it.
+// applyRelay applies the evidence against prompt parts and the departures of upstreams
+// in a heartbeat, and the roster and the upstream changes that a hub relays in it.
 func (g *Gateway) applyRelay(heartbeat heartbeater.Heartbeat) {
 	g.sharer.HandleReport(heartbeat.Suspicions)
+	g.abstainer.Adopt(heartbeat.Departures)
 	if heartbeat.Relay == nil {
 		return
 	}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -53,9 +53,10 @@
 // extendHeartbeat adds this daemon's load on engines that the coordinator, which is
 // the daemon that places a service's requests now, cannot know of, because
 // another daemon placed those requests. It also adds the evidence against prompt
-// parts that the receiver may lack.
+// parts that the receiver may lack, and the upstreams that are leaving.
 func (g *Gateway) extendHeartbeat(heartbeat *heartbeater.Heartbeat) {
 	heartbeat.Suspicions = g.sharer.Report()
+	heartbeat.Departures = g.abstainer.Departures()
 	for name, load := range g.broker.ExternalLoads() {
 		heartbeat.Loads = append(heartbeat.Loads, heartbeater.EngineLoad{Upstream: name, Running: load.Running, Tokens: load.Tokens})
 	}
--- a/process/gateway/wire.go
+++ b/process/gateway/wire.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"sassafraspass.dev/sassafraspass/connection/drainer"
@@ -11,9 +12,11 @@
 	"sassafraspass.dev/sassafraspass/process/fleet"
 	"sassafraspass.dev/sassafraspass/process/leaser"
 	"sassafraspass.dev/sassafraspass/process/logger"
+	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/process/rebalancer"
 	"sassafraspass.dev/sassafraspass/process/registrar"
 	"sassafraspass.dev/sassafraspass/process/sharer"
+	"sassafraspass.dev/sassafraspass/request/abstainer"
 	"sassafraspass.dev/sassafraspass/request/broker"
 	"sassafraspass.dev/sassafraspass/request/budgeter"
 	"sassafraspass.dev/sassafraspass/request/ejector"
@@ -85,6 +88,7 @@
 	f.Follower.OnChange = g.applyVersion
 	g.registrar = registrar.New(deps.Clock)
 	g.registrar.OnChange = g.notifyUpstreamsChanged
+	g.wireAbstainer(deps)
 	g.placer = placer.New(deps.Clock)
 	x, closeExchanger := exchanger.New(deps.Clock)
 	x.IsMatchingResponse = g.drivers.IsMatchingResponse
@@ -100,6 +104,7 @@
 		Version:       f.Follower.Version,
 		Router:        g.router.Load,
 		Registrar:     g.registrar,
+		Abstainer:     g.abstainer,
 		Authenticator: f.Authenticator,
 		ReserveTokens: g.reserver.Reserve,
 		RetryBudget:   g.retryBudget,
@@ -118,6 +123,19 @@
 	return []func(){closeFleet, closeExchanger}
 }
 
+func (g *Gateway) wireAbstainer(deps fleet.Dependencies) {
+	log := logger.For(deps.Log, logger.Upstream)
+	g.abstainer = abstainer.New(deps.Clock)
+	g.abstainer.OnDeparture = func(upstream identifier.UpstreamName, isOwn bool) {
+		deps.Meter.CountEvent(meter.EventDeparture)
+		log.Info("An upstream is leaving.", "upstream", upstream, "told-by-peer", !isOwn)
+		g.notifyUpstreamsChanged()
+		if isOwn {
+			g.Heartbeater.SendAllNow()
+		}
+	}
+}
+
 func (g *Gateway) wireReserver(deps fleet.Dependencies) {
 	g.reserver = reserver.New()
 	g.reserver.Self = g.Identity.Self.Incarnation
@@ -170,7 +188,9 @@
 	g.rebalancer.IsEnabled = func() bool { return g.currentSettings().Gateway.OrderHandoverWait > 0 }
 	g.rebalancer.Placer = g.placer
 	g.rebalancer.Leaser = l
-	g.rebalancer.Exchange = g.exchanger.Exchange
+	g.rebalancer.Exchange = func(ctx context.Context, engine registrar.Entry, message exchanger.Request) (*exchanger.Response, error) {
+		return g.proxier.Send(ctx, engine, message)
+	}
 	g.rebalancer.Protocol = g.drivers.OrderProtocol
 	g.rebalancer.Clock = deps.Clock
 	g.rebalancer.Log = log
--- a/process/heartbeater/heartbeat.go
+++ b/process/heartbeater/heartbeat.go
@@ -5,6 +5,7 @@
 
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/request/abstainer"
 )
 
 // State is the phase of a daemon's life; only a serving daemon takes new work.
@@ -55,6 +56,8 @@
 	// Suspicions is the evidence against prompt parts of which the sender knows more
 	// than the receiver may.
 	Suspicions []Suspicion
+	// Departures lists the upstreams that said lately that they are leaving.
+	Departures []abstainer.Departure
 }
 
 // Marks are the sender's high-water marks. A hub responds with newer data only.
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -52,6 +52,11 @@
 	// EventRejectedRecord parsed publications that are not accepted.
 	EventMalformedRecord Event = "broken-records"
 	EventRejectedRecord  Event = "rejected-records"
+	// EventHold counts responses of upstreams that want no requests for a while, and
+	// EventDeparture the upstreams that said that they are leaving, to this daemon or
+	// to a peer.
+	EventHold      Event = "upstream-holds"
+	EventDeparture Event = "upstream-departures"
 	// EventWastedPrefill counts prefills after which no decode returned output.
 	EventWastedPrefill Event = "wasted-prefills"
 	EventPrefill       Event = "prefills"
@@ -90,7 +95,7 @@
 
 var events = []Event{
 	EventRequest, EventResponse, EventToken, EventMismatchedFrame, EventMalformedRecord,
-	EventRejectedRecord, EventWastedPrefill, EventPrefill,
+	EventRejectedRecord, EventWastedPrefill, EventPrefill, EventHold, EventDeparture,
 	EventOrphanCancelled, EventInvariantViolation, EventCutByKeyWithdrawal, EventResume,
 	EventRoleOrder, EventFailedRoleOrder, EventCutBeforeOutput, EventCutAfterOutput,
 	EventPartSuspected, EventQuarantine, EventQuarantineReleased,
--- a/process/rebalancer/rebalancer.go
+++ b/process/rebalancer/rebalancer.go
@@ -101,7 +101,7 @@
 	IsEnabled func() bool
 	Placer    *placer.Placer
 	Leaser    *leaser.Leaser
-	Exchange  func(ctx context.Context, address identifier.Address, message exchanger.Request) (*exchanger.Response, error)
+	Exchange  func(ctx context.Context, engine registrar.Entry, message exchanger.Request) (*exchanger.Response, error)
 	Protocol  Protocol
 
 	Clock clockwork.Clock
@@ -244,7 +244,7 @@
 func (r *Rebalancer) send(ctx context.Context, engine registrar.Entry, message exchanger.Request) (status int, body []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	response, err := r.Exchange(ctx, engine.Address, message)
+	response, err := r.Exchange(ctx, engine, message)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/process/rebalancer/rebalancer_test.go
+++ b/process/rebalancer/rebalancer_test.go
@@ -40,7 +40,7 @@
 	orderPadding string
 }
 
-func (e *fakeEngine) exchange(_ context.Context, _ identifier.Address, m exchanger.Request) (*exchanger.Response, error) {
+func (e *fakeEngine) exchange(_ context.Context, _ registrar.Entry, m exchanger.Request) (*exchanger.Response, error) {
 	if e.isUnreachable {
 		return nil, &exchanger.SendError{Err: errors.New("refused")}
 	}
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -53,6 +53,7 @@
 	StreamTruncated          Code = "stream-cut"
 	Quarantined              Code = "quarantined"     // a part of the prompt crashes engines
 	CrashSuspected           Code = "crash-suspected" // a part of the prompt may crash engines
+	HeldBack                 Code = "held-back"       // the upstreams asked to be left alone for a while
 )
 
 // Codes lists all codes, so that each has a counter when the daemon starts.
@@ -64,7 +65,7 @@
 	IdempotencyKeyExpired, IdempotencyKeyReused, EarlierCallRunning, EarlierCallUnknown, IdempotencyKeyUnrecorded,
 	EarlierResponseNotKept,
 	ResumeUnknown, ResumeMalformed, CallerGone, ConcurrencyLimitReached,
-	PromptTooLarge, PrefillFailed, StreamTruncated, Quarantined, CrashSuspected,
+	PromptTooLarge, PrefillFailed, StreamTruncated, Quarantined, CrashSuspected, HeldBack,
 }
 
 // Refusal is an error response to a caller, whether the request ran or not. It
--- a/request/placer/pool.go
+++ b/request/placer/pool.go
@@ -98,6 +98,8 @@
 	MaxWait        time.Duration
 	// Avoid lists engines that already failed this request.
 	Avoid []identifier.UpstreamName
+	// HeldBack lists engines to which the requesting daemon must not send now.
+	HeldBack []identifier.UpstreamName
 }
 
 // Grant names the engines assigned to a request.
@@ -213,8 +215,8 @@
 	var bestPlacement *placement
 	lowest := 0.0
 	limit := maxUtilization * tokens(p.profile.KVCacheCapacity)
-	prefills := p.usableEngines(parser.RolePrefill, pending.request.Avoid, now)
-	for _, decode := range p.usableEngines(parser.RoleDecode, pending.request.Avoid, now) {
+	prefills := p.usableEngines(parser.RolePrefill, pending.request, now)
+	for _, decode := range p.usableEngines(parser.RoleDecode, pending.request, now) {
 		if len(decode.placements) >= max(1, decode.entry.Slots) {
 			continue
 		}
@@ -305,11 +307,13 @@
 }
 
 // usableEngines returns the engines of a role that accept requests, sorted by
-// name. It leaves out engines that are ejected, changing their role or in avoid.
-func (p *Pool) usableEngines(role parser.Role, avoid []identifier.UpstreamName, now time.Time) []*engine {
+// name. It leaves out engines that are ejected or changing their role, and those that
+// the request avoids or that its daemon holds back.
+func (p *Pool) usableEngines(role parser.Role, req Request, now time.Time) []*engine {
 	var usable []*engine
 	for name, e := range p.engines {
-		if e.entry.Role == role && !now.Before(e.ejectedUntil) && !e.isChangingRole(now) && !slices.Contains(avoid, name) {
+		isAccepting := e.entry.Role == role && !now.Before(e.ejectedUntil) && !e.isChangingRole(now)
+		if isAccepting && !slices.Contains(req.Avoid, name) && !slices.Contains(req.HeldBack, name) {
 			usable = append(usable, e)
 		}
 	}
--- a/request/placer/queue.go
+++ b/request/placer/queue.go
@@ -155,8 +155,9 @@
 			waiting = append(waiting, pending)
 		case blocked || !p.place(pending, verdict.Ruling == quarantiner.Test, now):
 			// Later requests must not overtake a blocked one, which may only need
-			// more memory.
-			blocked = true
+			// more memory. One that waits for engines that its own daemon holds back
+			// does not block the other daemons.
+			blocked = blocked || len(pending.request.HeldBack) == 0
 			waiting = append(waiting, pending)
 		}
 	}
--- a/request/placer/rolechange.go
+++ b/request/placer/rolechange.go
@@ -167,7 +167,7 @@
 // leastBusyEngine returns the least loaded usable engine of a role from the zone
 // with the most such engines.
 func (p *Pool) leastBusyEngine(role parser.Role, now time.Time) (registrar.Entry, bool) {
-	candidates := p.usableEngines(role, nil, now)
+	candidates := p.usableEngines(role, Request{}, now)
 	if len(candidates) == 0 {
 		return registrar.Entry{}, false
 	}
--- a/request/proxier/plain.go
+++ b/request/proxier/plain.go
@@ -55,15 +55,21 @@
 // servePlain serves a request to a plain service, by sending it whole to one upstream
 // after the other.
 func (p *Proxier) servePlain(ctx context.Context, rs *requestState) (*refuser.Refusal, error) {
-	upstreams := p.Ejector.Order(p.Registrar.Ready(rs.service.Name))
-	if len(upstreams) == 0 {
-		return refuser.New(http.StatusServiceUnavailable, refuser.NoUpstream, "service %s has no server now", rs.service.Name).WithRetryAfter(shortRetryAfter), nil
+	usable, refusal := p.usableUpstreams(rs.service.Name)
+	if refusal != nil {
+		return refusal, nil
 	}
-	last := p.sendWithRetries(ctx, rs, upstreams)
+	last := p.sendWithRetries(ctx, rs, p.Ejector.Order(usable))
 	if last.err == nil && !last.notRun {
 		return nil, p.relayResponse(ctx, rs, last)
 	}
 	last.close()
+	if last.notRun && !rs.mayHaveRun && ctx.Err() == nil {
+		_, refusal = p.usableUpstreams(rs.service.Name)
+		if refusal != nil {
+			return refusal, nil
+		}
+	}
 	if last.notRun && !rs.mayHaveRun {
 		return p.noResponseRefusal(ctx, rs, refuser.QueueFull, "the service is full"), nil
 	}
@@ -75,9 +81,13 @@
 func (p *Proxier) sendWithRetries(ctx context.Context, rs *requestState, upstreams []registrar.Entry) (last hopResult) {
 	isIdempotent := rs.route.Kind == parser.RouteIdempotent
 	executions := 0
+	last = hopResult{err: errHeldBack, notRun: true}
 	for hop := 0; hop < maxHops && ctx.Err() == nil; hop++ {
+		upstream, ok := p.nextUpstream(upstreams, hop)
+		if !ok {
+			break
+		}
 		last.close()
-		upstream := upstreams[hop%len(upstreams)]
 		canRetryElsewhere := hop+1 < maxHops && isIdempotent && executions+1 < rs.route.MaxAttempts && len(upstreams) > 1
 		last = p.sendHop(ctx, rs, upstream, upstreams, canRetryElsewhere)
 		if !last.notRun {
@@ -90,7 +100,8 @@
 		p.Log.Info("A hop failed.", "id", rs.req.ID, "upstream", upstream.Name, "reason", reason, "not-run", last.notRun, "status", last.status(), "err", last.err)
 		mayRetry := last.notRun || (isIdempotent && executions < rs.route.MaxAttempts)
 		isFinal := !mayRetry || hop+1 == maxHops || ctx.Err() != nil
-		if isFinal || !p.takeRetry(rs, reason) {
+		_, isElsewhere := p.nextUpstream(upstreams, hop+1)
+		if isFinal || !isElsewhere || !p.takeRetry(rs, reason) {
 			return last
 		}
 	}
@@ -187,7 +198,7 @@
 	rs.hops++
 	rs.upstream = upstream.Name
 	sentAt := p.Clock.Now()
-	response, err := p.Exchanger.Exchange(ctx, upstream.Address, p.newUpstreamRequest(rs, hop))
+	response, err := p.Send(ctx, upstream, p.newUpstreamRequest(rs, hop))
 	p.Meter.ObserveDuration(meter.TimingUpstream, p.Clock.Since(sentAt))
 	if err != nil {
 		r.err = err
--- a/request/proxier/proxier.go
+++ b/request/proxier/proxier.go
@@ -25,6 +25,7 @@
 	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/process/registrar"
 	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/request/abstainer"
 	"sassafraspass.dev/sassafraspass/request/authenticator"
 	"sassafraspass.dev/sassafraspass/request/budgeter"
 	"sassafraspass.dev/sassafraspass/request/ejector"
@@ -98,11 +99,11 @@
 	StageDecode  Stage = "decode"
 )
 
-// KVHandle identifies the KV cache that a prefill produced. The prefill engine, at
-// the address, keeps it for a short time.
+// KVHandle identifies the KV cache that a prefill produced. The prefill engine keeps
+// it for a short time.
 type KVHandle struct {
-	Address identifier.Address
-	ID      string
+	Engine registrar.Entry
+	ID     string
 }
 
 // Hop is one send of a request to one upstream. A request that is retried, or that
@@ -135,6 +136,8 @@
 	// IsMisdirected reports whether a response comes from a different upstream
 	// than the one that was addressed.
 	IsMisdirected func(status int, header http.Header) bool
+	// DecodeSignal returns what a response says about its upstream.
+	DecodeSignal func(status int, header http.Header) abstainer.Signal
 }
 
 // Proxier proxies pass-through requests to upstreams.
@@ -142,6 +145,7 @@
 	Version       func() *reducer.Version
 	Router        func() *router.Router
 	Registrar     *registrar.Registrar
+	Abstainer     *abstainer.Abstainer
 	Authenticator *authenticator.Authenticator
 	// ReserveTokens reserves tokens of a workspace's limit.
 	ReserveTokens func(ctx context.Context, workspace parser.Workspace, tokens identifier.Tokens) (*reserver.Claim, *refuser.Refusal)
--- a/request/proxier/proxier_test.go
+++ b/request/proxier/proxier_test.go
@@ -24,6 +24,7 @@
 	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/process/registrar"
 	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/request/abstainer"
 	"sassafraspass.dev/sassafraspass/request/budgeter"
 	"sassafraspass.dev/sassafraspass/request/ejector"
 	"sassafraspass.dev/sassafraspass/request/placer"
@@ -171,6 +172,7 @@
 		Version:     func() *reducer.Version { return version },
 		Router:      func() *router.Router { return routes },
 		Registrar:   registry,
+		Abstainer:   abstainer.New(clock),
 		RetryBudget: budgeter.New(clock, budgeter.Bounds{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}),
 		Ejector:     ejector.New(clock, "z"),
 		Placements:  PlacementClient{Place: f.place, Report: f.report, NextKey: func() placer.Key { return placer.Key{} }},
@@ -184,7 +186,11 @@
 				return exchanger.Request{Method: http.MethodDelete, Target: "/" + handle.ID, Host: "h", Header: http.Header{}}
 			},
 			IsNotRun:      func(_ int, header http.Header) bool { return header.Get("X-Not-Run") != "" },
-			IsMisdirected: func(int, http.Header) bool { return false },
+			IsMisdirected: func(_ int, header http.Header) bool { return header.Get("X-Other") != "" },
+			DecodeSignal: func(_ int, header http.Header) abstainer.Signal {
+				pause, _ := time.ParseDuration(header.Get("X-Pause"))
+				return abstainer.Signal{IsLeaving: header.Get("X-Leaving") != "", RetryAfter: pause}
+			},
 		},
 		Drainer: drainer.New(clock),
 		Clock:   clock,
@@ -194,6 +200,15 @@
 	return f
 }
 
+// setRoles gives upstreams the roles of engines.
+func (f *fixture) setRoles(roles map[string]parser.Role) {
+	for i, entry := range f.Registrar.All() {
+		entry.Role = roles[string(entry.Name)]
+		entry.Offset = identifier.Offset(100 + i)
+		f.Registrar.Put(entry)
+	}
+}
+
 // place grants the test's engine pairs in order.
 func (f *fixture) place(_ context.Context, _ identifier.ServiceName, req placer.Request) (placer.Grant, *refuser.Refusal) {
 	f.mu.Lock()
--- /dev/null
+++ b/request/proxier/send.go
@@ -0,0 +1,105 @@
+package proxier
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"sassafraspass.dev/sassafraspass/connection/exchanger"
+	"sassafraspass.dev/sassafraspass/identifier"
+	"sassafraspass.dev/sassafraspass/process/meter"
+	"sassafraspass.dev/sassafraspass/process/registrar"
+	"sassafraspass.dev/sassafraspass/refuser"
+	"sassafraspass.dev/sassafraspass/version/parser"
+)
+
+// errHeldBack means that nothing was sent, because the upstream is leaving or asked to
+// be left alone for a while.
+var errHeldBack = errors.New("the upstream asked to be left alone")
+
+// Send sends a request to an upstream, unless it asked to be left alone, and records
+// what the response says about it. Everything that this daemon sends to upstreams goes
+// through it. Errors are of type *exchanger.SendError.
+func (p *Proxier) Send(ctx context.Context, upstream registrar.Entry, request exchanger.Request) (*exchanger.Response, error) {
+	if !p.Abstainer.MayUse(upstream) {
+		return nil, &exchanger.SendError{Err: errHeldBack}
+	}
+	response, err := p.Exchanger.Exchange(ctx, upstream.Address, request)
+	if err != nil {
+		return nil, err
+	}
+	p.observe(ctx, upstream, response)
+	return response, nil
+}
+
+// observe records what a response says about its upstream, unless another upstream sent
+// it.
+func (p *Proxier) observe(ctx context.Context, upstream registrar.Entry, response *exchanger.Response) {
+	if p.Protocol.IsMisdirected(response.StatusCode, response.Header) {
+		return
+	}
+	signal := p.Protocol.DecodeSignal(response.StatusCode, response.Header)
+	if signal.RetryAfter > 0 {
+		p.Meter.CountEvent(meter.EventHold)
+		p.Log.Log(ctx, slog.LevelInfo, "An upstream wants no requests for a while.", "upstream", upstream.Name, "status", response.StatusCode, "ms", signal.RetryAfter.Milliseconds())
+	}
+	p.Abstainer.Observe(upstream, signal)
+}
+
+// usableUpstreams returns the upstreams of a service to which requests may be sent now.
+// If there are none, it returns the refusal for the request.
+func (p *Proxier) usableUpstreams(service identifier.ServiceName) (usable []registrar.Entry, refusal *refuser.Refusal) {
+	ready := p.Registrar.Ready(service)
+	usable, nextReturn := p.Abstainer.Usable(ready)
+	switch {
+	case len(usable) > 0:
+		return usable, nil
+	case nextReturn > 0:
+		return nil, heldBackRefusal(service, nextReturn)
+	}
+	return nil, refuser.New(http.StatusServiceUnavailable, refuser.NoUpstream, "service %s has no server now", service).WithRetryAfter(shortRetryAfter)
+}
+
+// heldBackRefusal is the refusal if all upstreams that could serve a request asked to be
+// left alone. Another daemon may still use them, but all are turned away alike in an
+// overload.
+func heldBackRefusal(service identifier.ServiceName, nextReturn time.Duration) *refuser.Refusal {
+	return refuser.New(http.StatusServiceUnavailable, refuser.HeldBack, "the servers of service %s want no requests for %d ms", service, nextReturn.Milliseconds()).WithRetryAfter(nextReturn)
+}
+
+// checkEngines refuses a stream for which the engines of one role are all held back. It
+// returns the engines that the placement must leave out.
+func (p *Proxier) checkEngines(service identifier.ServiceName) (heldBack []identifier.UpstreamName, refusal *refuser.Refusal) {
+	ready := p.Registrar.Ready(service)
+	heldBack = p.Abstainer.HeldBack(ready)
+	if len(heldBack) == 0 {
+		return nil, nil
+	}
+	for _, role := range []parser.Role{parser.RolePrefill, parser.RoleDecode} {
+		var engines []registrar.Entry
+		for _, entry := range ready {
+			if entry.Role == role {
+				engines = append(engines, entry)
+			}
+		}
+		usable, nextReturn := p.Abstainer.Usable(engines)
+		if len(usable) == 0 && nextReturn > 0 {
+			return nil, heldBackRefusal(service, nextReturn)
+		}
+	}
+	return heldBack, nil
+}
+
+// nextUpstream returns the upstream for a hop: the first one from the hop's place in the
+// order on that may be used now.
+func (p *Proxier) nextUpstream(upstreams []registrar.Entry, hop int) (registrar.Entry, bool) {
+	for i := range upstreams {
+		upstream := upstreams[(hop+i)%len(upstreams)]
+		if p.Abstainer.MayUse(upstream) {
+			return upstream, true
+		}
+	}
+	return registrar.Entry{}, false
+}
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -137,6 +137,13 @@
 // whether another pair may be tried.
 func (p *Proxier) tryPlacement(ctx context.Context, ss *streamState) (refusal *refuser.Refusal, retry bool, err error) {
 	ss.placementRequest = p.newPlacementRequest(ss)
+	ss.placementRequest.HeldBack, refusal = p.checkEngines(ss.service.Name)
+	if refusal != nil {
+		if ss.mayHaveRun {
+			return p.noResponseRefusal(ctx, ss.requestState, refusal.Code, refusal.Message), false, nil
+		}
+		return refusal, false, nil
+	}
 	grant, refusal := p.Placements.Place(ctx, ss.service.Name, ss.placementRequest)
 	if refusal != nil {
 		if ss.mayHaveRun {
@@ -241,7 +248,7 @@
 	}
 	p.Meter.CountEvent(meter.EventPrefill)
 	p.Placements.Report(ss.service.Name, placer.Report{Key: ss.placementRequest.Key, Step: placer.StepPrefilled, Elapsed: p.Clock.Since(startedAt)})
-	return KVHandle{Address: engine.Address, ID: id}, nil
+	return KVHandle{Engine: engine, ID: id}, nil
 }
 
 // decode sends the request to the decode engine and relays its stream. It sets the
@@ -253,7 +260,7 @@
 	hop := Hop{Upstream: engine, Stage: StageDecode, Handle: handle, LastEventID: ss.lastEventID}
 	hopCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	response, err := p.Exchanger.Exchange(hopCtx, engine.Address, p.newUpstreamRequest(ss.requestState, hop))
+	response, err := p.Send(hopCtx, engine, p.newUpstreamRequest(ss.requestState, hop))
 	if err != nil {
 		p.Log.Info("A decode engine did not respond.", "id", ss.req.ID, "upstream", engine.Name, "sent", exchanger.MaybeSent(err), "parts", ss.req.PromptParts, "err", err)
 		p.recordDecodeFailure(ctx, ss, engine, report)
@@ -362,9 +369,9 @@
 func (p *Proxier) freeKVHandle(handle KVHandle) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeKVHandleTimeout)
 	defer cancel()
-	response, err := p.Exchanger.Exchange(ctx, handle.Address, p.Protocol.EncodeFree(handle))
+	response, err := p.Send(ctx, handle.Engine, p.Protocol.EncodeFree(handle))
 	if err != nil {
-		p.Log.Debug("Cannot free a KV handle.", "engine", handle.Address, "err", err)
+		p.Log.Debug("Cannot free a KV handle.", "engine", handle.Engine.Name, "err", err)
 		return
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxFreeResponseBytes))
