Do not take an earlier refusal for the response to a retry

A server that wrote an earlier refusal once more on a kept connection could make a caller believe 'not run' of a request that ran, or have it run at a second server: a retry carries the id of the refused attempt, so the copy matched it. A copy without an id matched any request, and so did every response a request without an id.

A connection now never carries two requests with the same id; a request without an id (orders, reports, releases of handles) gets a connection of its own; and on a connection that carried earlier requests a response without the request's id proves nothing: the outcome of its request is unknown.

--- a/connection/exchanger/conn.go
+++ b/connection/exchanger/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -30,14 +31,34 @@
 	// it failed. sendErr may be read after that.
 	sendDone chan struct{}
 	sendErr  error
-	// requestCount is the number of requests sent so far.
+	// requestCount is the number of requests sent so far, and recentIDs holds the ids
+	// of the last maxRecentIDs of them.
 	requestCount int
+	recentIDs    []string
 	// notReusable is set if the connection must be closed after the response.
 	notReusable bool
 	// idleUntil is when an idle connection expires.
 	idleUntil time.Time
 }
 
+// maxRecentIDs is how many requests a connection can carry before an id is forgotten.
+// Attempts with the same id follow each other within the deadline of one request.
+const maxRecentIDs = 64
+
+func (c *conn) recordID(id string) {
+	if id == "" {
+		return
+	}
+	if len(c.recentIDs) >= maxRecentIDs {
+		c.recentIDs = slices.Delete(c.recentIDs, 0, 1)
+	}
+	c.recentIDs = append(c.recentIDs, id)
+}
+
+func (c *conn) hasCarried(id string) bool {
+	return id != "" && slices.Contains(c.recentIDs, id)
+}
+
 func dial(ctx context.Context, address identifier.Address) (*conn, error) {
 	dialer := net.Dialer{
 		Timeout: dialTimeout,
--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -14,6 +14,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -113,6 +114,12 @@
 	// IsMatchingResponse reports whether a response belongs to a request, given
 	// the headers of both. By default, every response matches.
 	IsMatchingResponse func(response, request http.Header) bool
+	// EchoedID returns the id in a header that upstreams copy from a request to its
+	// response, or "". A connection never carries two requests with the same id, as an
+	// upstream may send an earlier response again, which no id tells apart then. A
+	// request without an id gets a connection of its own. If EchoedID is nil, every
+	// request may use every connection.
+	EchoedID func(header http.Header) string
 
 	clock clockwork.Clock
 
@@ -150,13 +157,17 @@
 	*http.Response
 	// Reused is true if the connection carried earlier requests.
 	Reused bool
+	// IsConfirmed is true if the response certainly belongs to the request: it has the
+	// request's id, or the connection carried no earlier request.
+	IsConfirmed bool
 }
 
 // Exchange sends a request once and returns as soon as the response header is
 // read. The context covers the whole exchange, including the response body: when
 // it ends, the connection is closed. Errors are of type *SendError.
 func (x *Exchanger) Exchange(ctx context.Context, address identifier.Address, request Request) (*Response, error) {
-	c, err := x.connect(ctx, address)
+	id := x.echoedID(request.Header)
+	c, err := x.connect(ctx, address, id)
 	if err != nil {
 		return nil, &SendError{Err: fmt.Errorf("connect to %s: %w", address, err)}
 	}
@@ -171,7 +182,9 @@
 		}
 		return nil, &SendError{MaybeSent: c.bytesWritten.Load() > 0, Incomplete: c.limit.hasRead(), Err: fmt.Errorf("call %s: %w", address, err)}
 	}
-	response := &Response{Response: resp, Reused: c.requestCount > 1}
+	c.recordID(id)
+	isReused := c.requestCount > 1
+	response := &Response{Response: resp, Reused: isReused, IsConfirmed: !isReused || x.EchoedID == nil || id != "" && x.EchoedID(resp.Header) == id}
 	resp.Body = &responseBody{ReadCloser: resp.Body, exchanger: x, conn: c, stop: stop, ctx: ctx, idleTimeout: idleTimeout(resp)}
 	return response, nil
 }
@@ -244,9 +257,12 @@
 }
 
 // connect returns a healthy idle connection, or dials a new one.
-func (x *Exchanger) connect(ctx context.Context, address identifier.Address) (*conn, error) {
+func (x *Exchanger) connect(ctx context.Context, address identifier.Address, id string) (*conn, error) {
+	if id == "" && x.EchoedID != nil {
+		return dial(ctx, address)
+	}
 	for {
-		c := x.takeIdle(address)
+		c := x.takeIdle(address, id)
 		if c == nil {
 			return dial(ctx, address)
 		}
@@ -257,26 +273,40 @@
 	}
 }
 
-// takeIdle removes the most recently used idle connection to an address from the
-// pool. It closes expired ones on the way and returns nil if none is left.
-func (x *Exchanger) takeIdle(address identifier.Address) *conn {
+// takeIdle removes from the pool the most recently used idle connection to an address
+// that has not carried a request with the id. It closes expired ones on the way and
+// returns nil if there is none.
+func (x *Exchanger) takeIdle(address identifier.Address, id string) *conn {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.clock.Now()
 	conns := x.idle[address]
-	for len(conns) > 0 {
-		c := conns[len(conns)-1]
-		conns = conns[:len(conns)-1]
+	for i := len(conns) - 1; i >= 0; i-- {
+		c := conns[i]
+		isExpired := !now.Before(c.idleUntil)
+		if !isExpired && c.hasCarried(id) {
+			continue
+		}
+		conns = slices.Delete(conns, i, i+1)
 		x.idle[address] = conns
-		if now.Before(c.idleUntil) {
+		if !isExpired {
 			return c
 		}
 		_ = c.Close()
 	}
-	delete(x.idle, address)
+	if len(conns) == 0 {
+		delete(x.idle, address)
+	}
 	return nil
 }
 
+func (x *Exchanger) echoedID(header http.Header) string {
+	if x.EchoedID == nil {
+		return ""
+	}
+	return x.EchoedID(header)
+}
+
 // awaitSendDone waits up to sendGracePeriod until the sending goroutine ends. A
 // response can be read to its end before that goroutine has closed sendDone.
 func (x *Exchanger) awaitSendDone(c *conn) {
--- a/process/gateway/drivers.go
+++ b/process/gateway/drivers.go
@@ -89,6 +89,9 @@
 	// IsMatchingResponse reports whether the header of a response belongs to the
 	// request with the given header.
 	IsMatchingResponse func(response, request http.Header) bool
+	// EchoedID returns the id that an upstream copies from the header of a request to
+	// that of its response, or "".
+	EchoedID func(header http.Header) string
 
 	// CallerHandler builds the handler for callers; maxBody is in bytes.
 	// DirectoryHandler builds the one that tells callers the daemons' addresses,
--- a/process/gateway/wire.go
+++ b/process/gateway/wire.go
@@ -92,6 +92,7 @@
 	g.placer = placer.New(deps.Clock)
 	x, closeExchanger := exchanger.New(deps.Clock)
 	x.IsMatchingResponse = g.drivers.IsMatchingResponse
+	x.EchoedID = g.drivers.EchoedID
 	g.exchanger = x
 	g.drainer = drainer.New(deps.Clock)
 	g.ejector = ejector.New(deps.Clock, g.currentSettings().Zone)
--- a/request/proxier/plain.go
+++ b/request/proxier/plain.go
@@ -208,8 +208,8 @@
 		return r
 	}
 	r.response = response
-	r.notRun = p.Protocol.IsNotRun(response.StatusCode, response.Header)
-	r.misdirected = p.Protocol.IsMisdirected(response.StatusCode, response.Header)
+	r.notRun = p.isNotRun(response)
+	r.misdirected = p.isMisdirected(response)
 	if r.misdirected {
 		p.Registrar.MarkStale(upstream)
 		p.Log.Info("An address has another upstream.", "id", rs.req.ID, "upstream", upstream.Name, "offset", upstream.Offset)
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -276,7 +276,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	ss.hasEngineHeader = true
-	if p.Protocol.IsNotRun(response.StatusCode, response.Header) {
+	if p.isNotRun(response) {
 		return p.handleRejection(ctx, ss, engine, handle, response, report)
 	}
 	ss.mayHaveRun = true
@@ -337,7 +337,7 @@
 // handleRejection handles a decode engine's response that states that the request was
 // not executed. Another pair may be tried.
 func (p *Proxier) handleRejection(ctx context.Context, ss *streamState, engine registrar.Entry, handle KVHandle, response *exchanger.Response, report *placer.Report) (*refuser.Refusal, bool, error) {
-	misdirected := p.Protocol.IsMisdirected(response.StatusCode, response.Header)
+	misdirected := p.isMisdirected(response)
 	if misdirected {
 		p.Registrar.MarkStale(engine)
 	}
