--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -68,7 +68,9 @@
 	for name, load := range g.broker.ExternalLoads() {
 		usages = append(usages, placer.ExternalLoad{Requester: g.Identity.Self.Incarnation, Engine: name, Memory: load.Tokens})
 	}
-	for _, peer := range g.Peers.Live() {
+	live := g.Peers.Live()
+	for i := range live {
+		peer := &live[i]
 		for _, load := range peer.Loads {
 			usages = append(usages, placer.ExternalLoad{Requester: peer.Incarnation, Engine: load.Upstream, Memory: load.Tokens})
 		}
@@ -200,9 +202,10 @@
 	if g.acceptsRequests() {
 		serving = append(serving, g.Identity.CallerAddress)
 	}
-	for _, peer := range g.Peers.Live() {
-		if peer.State == heartbeater.StateServing {
-			serving = append(serving, peer.Caller)
+	live := g.Peers.Live()
+	for i := range live {
+		if live[i].State == heartbeater.StateServing {
+			serving = append(serving, live[i].Caller)
 		}
 	}
 	rand.Shuffle(len(serving), func(i, j int) { serving[i], serving[j] = serving[j], serving[i] })
--- a/process/heartbeater/roster.go
+++ b/process/heartbeater/roster.go
@@ -23,7 +23,7 @@
 // roster is the list of the daemons that a hub hears.
 type roster struct {
 	revision int64
-	members  map[identifier.Incarnation]Heartbeat
+	members  map[identifier.Incarnation]*Heartbeat
 	// confirmedAt is when the hub last confirmed that the roster is current.
 	confirmedAt time.Time
 }
@@ -76,12 +76,12 @@
 			case incarnation == p.self || isKnown && i < directCount:
 			case !isKnown:
 				index[incarnation] = len(live)
-				live = append(live, Peer{Heartbeat: heartbeat, HeardAt: r.confirmedAt})
+				live = append(live, Peer{Heartbeat: *heartbeat, HeardAt: r.confirmedAt})
 			default:
 				known := &live[i]
 				order := cmp.Or(cmp.Compare(stateRank[heartbeat.State], stateRank[known.State]), known.HeardAt.Compare(r.confirmedAt))
 				if order < 0 {
-					*known = Peer{Heartbeat: heartbeat, HeardAt: r.confirmedAt}
+					*known = Peer{Heartbeat: *heartbeat, HeardAt: r.confirmedAt}
 				}
 			}
 		}
@@ -203,10 +203,11 @@
 		return
 	}
 	if update.Base == 0 {
-		r.members = make(map[identifier.Incarnation]Heartbeat, len(update.Members))
+		r.members = make(map[identifier.Incarnation]*Heartbeat, len(update.Members))
 	}
-	for _, heartbeat := range update.Members {
-		r.members[heartbeat.Incarnation] = heartbeat
+	for i := range update.Members {
+		heartbeat := update.Members[i]
+		r.members[heartbeat.Incarnation] = &heartbeat
 	}
 	for _, incarnation := range update.Departed {
 		delete(r.members, incarnation)
