Announce a planned stop without waiting for a heartbeat in flight

A daemon that begins to leave sends a heartbeat at once, so that the others stop listing its address within the second that it goes on accepting. If an exchange with a peer was in flight, the new heartbeat waited for its end, up to a second (the exchange timeout), and the peer listed the address meanwhile. Callers that got it then were refused a connection after the listener closed.

Both daemons now cancel exchanges in flight when they begin to leave, as they already did for a peer's successor.

--- a/process/gateway/stop.go
+++ b/process/gateway/stop.go
@@ -46,7 +46,7 @@
 	shutdown := g.drainer.Begin(announcement, fractionOf(grace, drainFraction))
 	g.Log.Info("Leaving.", "grace", grace)
 	g.Leaving.Store(true)
-	g.Heartbeater.SendAllNow()
+	g.Heartbeater.AnnounceNow()
 	g.sleepUntil(ctx, shutdown.KnownBy)
 	g.drainer.CloseIdle()
 	g.sleepUntil(ctx, shutdown.Began.Add(fractionOf(grace, lingerFraction)))
--- a/process/heartbeater/heartbeater.go
+++ b/process/heartbeater/heartbeater.go
@@ -87,6 +87,24 @@
 	h.wake()
 }
 
+// AnnounceNow sends a heartbeat to every target immediately. Unlike SendAllNow it does not
+// wait for the exchanges in flight, which carry the state from before and may take
+// until exchangeTimeout: it cancels them.
+func (h *Heartbeater) AnnounceNow() {
+	h.mu.Lock()
+	clear(h.lastSent)
+	var cancels []context.CancelFunc
+	for address, cancel := range h.inFlight {
+		h.resend[address] = true
+		cancels = append(cancels, cancel)
+	}
+	h.mu.Unlock()
+	for _, cancel := range cancels {
+		cancel()
+	}
+	h.wake()
+}
+
 // wake makes Run check for due heartbeats immediately.
 func (h *Heartbeater) wake() {
 	select {
--- a/process/server/stop.go
+++ b/process/server/stop.go
@@ -58,7 +58,7 @@
 func (s *Server) shutDownGracefully(ctx context.Context) error {
 	s.Log.Info("Leaving.", "entry-max-age", s.settings.EntryMaxAge)
 	s.Leaving.Store(true)
-	s.Heartbeater.SendAllNow()
+	s.Heartbeater.AnnounceNow()
 	s.drainer.Begin(s.settings.EntryMaxAge+announceDelay, maxDrainTime)
 	repeater.Sleep(ctx, s.Clock, s.settings.EntryMaxAge+announceDelay)
 	s.drainer.CloseIdle()
