Do not end when an epoch begins while heartbeat targets are chosen

A daemon could panic with a division by zero: its targets were taken from the epoch's other members, of which there were none, and a new epoch with members began before it asked whether a hub is heard.

Monitored daemons are no longer appended to the epoch's own list of members, whose spare capacity two callers could have shared (found by reading).

--- a/process/fleet/peers.go
+++ b/process/fleet/peers.go
@@ -163,7 +163,7 @@
 
 // monitored returns the members of the epoch and the other monitored daemons.
 func (f *Fleet) monitored() []epochtracker.Member {
-	return append(f.EpochTracker.Current().Members, f.MonitoredDaemons()...)
+	return slices.Concat(f.EpochTracker.Current().Members, f.MonitoredDaemons())
 }
 
 // CoordinatorOf returns the address of the coordinator of a model, which is the
--- a/process/gateway/candidates_test.go
+++ b/process/gateway/candidates_test.go
@@ -86,3 +86,29 @@
 	}
 	is.True(g.isIsolated())
 }
+
+// TestEpochThatBeginsWhileTargetsAreChosenEndsNoDaemon guards against a division by the
+// number of hubs, which is zero if the epoch had no other member a moment before.
+func TestEpochThatBeginsWhileTargetsAreChosenEndsNoDaemon(t *testing.T) {
+	g := newNonHub(clockwork.NewFakeClock(), "h1")
+	receiveHeartbeat(g, "h1", 1)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for number := identifier.Offset(1); number < 20_000; number++ {
+			epoch := epochtracker.Epoch{Number: number}
+			if number%2 == 0 {
+				epoch.Members = []epochtracker.Member{newMember("h1")}
+			}
+			g.EpochTracker.Install(epoch)
+		}
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		default:
+			g.heartbeatTargets()
+		}
+	}
+}
--- a/process/gateway/hubs.go
+++ b/process/gateway/hubs.go
@@ -54,7 +54,7 @@
 // between two heartbeats.
 func (g *Gateway) heartbeatTargets() (addresses []identifier.Address, interval time.Duration) {
 	hubs := g.otherHubs()
-	if !g.hearsHub() {
+	if len(hubs) == 0 || !g.hearsHub() {
 		return append(hubs, g.bootstrapAddresses()...), heartbeater.Interval
 	}
 	if g.isHub() {
