Limit the index with which a caller resumes a stream

A resumption allocates an entry for each token up to the index in the caller's Last-Event-ID, so one caller could end a daemon with an index of 10^9 (16 GB). Indexes above 2^20 tokens are malformed now.

--- a/request/streamer/resume.go
+++ b/request/streamer/resume.go
@@ -25,7 +25,12 @@
 	Index    int
 }
 
-const eventIDParts = 3
+const (
+	eventIDParts = 3
+	// maxIndex is above the output of every request. A resumption needs memory for the
+	// tokens up to the index.
+	maxIndex = 1 << 20
+)
 
 // String returns "engine/attempt/index".
 func (id EventID) String() string {
@@ -41,8 +46,8 @@
 		return id, fmt.Errorf("expected %d parts separated by slashes", eventIDParts)
 	}
 	index, err := strconv.Atoi(parts[2])
-	if err != nil || index < 0 {
-		return id, fmt.Errorf("the index is not a non-negative integer")
+	if err != nil || index < 0 || index > maxIndex {
+		return id, fmt.Errorf("the index is not an integer from 0 to %d", maxIndex)
 	}
 	return EventID{
 		Upstream: identifier.UpstreamName(parts[0]),
