--- a/request/proxier/plain.go
+++ b/request/proxier/plain.go
@@ -96,18 +96,22 @@
 		if !last.isFailure() && !last.notRun {
 			return last
 		}
-		reason := retryReason(last)
-		p.Log.Info("A hop failed.", "id", rs.req.ID, "upstream", upstream.Name, "reason", reason, "not-run", last.notRun, "status", last.status(), "err", last.err)
-		mayRetry := last.notRun || (isIdempotent && executions < rs.route.MaxAttempts)
-		isFinal := !mayRetry || hop+1 == maxHops || ctx.Err() != nil
-		_, isElsewhere := p.nextUpstream(upstreams, hop+1)
-		if isFinal || !isElsewhere || !p.takeRetry(rs, reason) {
+		p.Log.Info("A hop failed.", "id", rs.req.ID, "upstream", upstream.Name, "reason", retryReason(last), "not-run", last.notRun, "status", last.status(), "err", last.err)
+		mayRun := last.notRun || (isIdempotent && executions < rs.route.MaxAttempts)
+		if !mayRun || ctx.Err() != nil || !p.beginRetry(rs, last, upstreams, hop+1) {
 			return last
 		}
 	}
 	return last
 }
 
+// beginRetry reports whether a request may be sent again as the given hop, which then
+// has taken a retry from the budget.
+func (p *Proxier) beginRetry(rs *requestState, last hopResult, upstreams []registrar.Entry, hop int) bool {
+	_, ok := p.nextUpstream(upstreams, hop)
+	return ok && hop < maxHops && p.takeRetry(rs, retryReason(last))
+}
+
 // takeRetry takes one retry from the service's retry budget and counts it under
 // reason. It reports whether there was one.
 func (p *Proxier) takeRetry(rs *requestState, reason meter.RetryReason) bool {
