Do not report an engine that was only left alone as failed

If the placer granted an engine that asked this daemon for a pause meanwhile, nothing was sent, but the daemon reported a failure, for which the placer ejects the engine for all daemons. It reports the end of the placement now. The test of engines that push back counts the reported failures; it saw two before.

--- a/request/proxier/send_test.go
+++ b/request/proxier/send_test.go
@@ -82,6 +82,10 @@
 			}
 			is.Equal(f.upstreams[tt.heldBack].runCount(), 1)
 			is.Equal(len(f.requests[0].HeldBack), 0)
+			failures := slices.DeleteFunc(f.steps(), func(step placer.Step) bool {
+				return step != placer.StepPrefillFailed && step != placer.StepDecodeFailed
+			})
+			is.Equal(len(failures), 1) // the one that pushed back; the placer must not eject what was only left alone
 			is.Equal(f.requests[1].HeldBack, []identifier.UpstreamName{identifier.UpstreamName(tt.heldBack)})
 		})
 	}
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -169,7 +169,7 @@
 	handle, prefillErr := p.prefill(ctx, ss, prefill)
 	if prefillErr != nil {
 		if ctx.Err() == nil {
-			report.Step = placer.StepPrefillFailed
+			report.Step = failureStep(prefillErr, placer.StepPrefillFailed)
 			ss.excluded = append(ss.excluded, prefill.Name)
 			p.Meter.CountRetry(meter.RetryPrefill)
 		}
@@ -264,6 +264,7 @@
 	if err != nil {
 		p.Log.Info("A decode engine did not respond.", "id", ss.req.ID, "upstream", engine.Name, "sent", exchanger.MaybeSent(err), "parts", ss.req.PromptParts, "err", err)
 		p.recordDecodeFailure(ctx, ss, engine, report)
+		report.Step = failureStep(err, report.Step)
 		if !exchanger.MaybeSent(err) {
 			go p.freeKVHandle(handle)
 		} else {
@@ -305,6 +306,16 @@
 	return ss.route.AllowStreamFailover && ss.decodeExecutions < ss.route.MaxAttempts
 }
 
+// failureStep returns the step to report for an engine that failed with err. One that
+// was sent nothing, as it asked this daemon to leave it alone, did not fail, and may
+// serve the other daemons.
+func failureStep(err error, step placer.Step) placer.Step {
+	if errors.Is(err, errHeldBack) {
+		return placer.StepEnded
+	}
+	return step
+}
+
 // recordDecodeFailure reports a failed decode engine and excludes it, unless the
 // request itself has ended.
 func (p *Proxier) recordDecodeFailure(ctx context.Context, ss *streamState, engine registrar.Entry, report *placer.Report) {
