--- a/process/heartbeater/roster.go
+++ b/process/heartbeater/roster.go
@@ -33,8 +33,8 @@
 type ownRoster struct {
 	revision int64
 	members  map[identifier.Incarnation]rosterMember
-	// departed holds the revisions at which daemons were removed. Revisions up to
-	// firstKnown are no longer known, and copies of these need the whole roster.
+	// departed holds the revisions at which daemons were removed. Copies of revisions
+	// before firstKnown need the whole roster, as some removals are forgotten.
 	departed   map[identifier.Incarnation]int64
 	firstKnown int64
 	// self is this daemon's own entry. The roster is computed again if isStale is set,
@@ -94,8 +94,8 @@
 var stateRank = map[State]int{StateLeaving: 0, StateStarting: 1, StateServing: 2}
 
 // RosterSince returns the changes of this daemon's roster, to which it adds self,
-// after a revision, or nil if there are none. Without knowledge of that revision it
-// returns the whole roster.
+// after the known revision, or nil if there are none. It returns the whole roster if the
+// changes are no longer known.
 func (p *Peers) RosterSince(self Heartbeat, known int64) *RosterUpdate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
