--- a/review/standin/file.go
+++ b/review/standin/file.go
@@ -1,6 +1,10 @@
 package main
 
-import "os"
+import (
+	"io"
+	"os"
+	"strings"
+)
 
 func readFile(path string) string {
 	raw, err := os.ReadFile(path)
@@ -9,3 +13,5 @@
 	}
 	return string(raw)
 }
+
+func stringBody(text string) io.Reader { return strings.NewReader(text) }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -175,6 +175,7 @@
 		"deadly-part":    deadlyPartCase,
 		"long-prefix":    longPrefixCase,
 		"same-size":      sameSizeCase,
+		"false-refusal":  falseRefusalCase,
 		"late-extra":     lateExtraCase,
 	}
 	play, ok := cases[*name]
