--- a/review/.standin/daemons.go
+++ b/review/.standin/daemons.go
@@ -28,14 +28,21 @@
 
 func freePort() int { return freePortOn("127.0.0.1") }
 
+// givenPorts holds the ports that freePortOn has returned.
+var givenPorts = map[int]bool{}
+
 // freePortOn returns a free port below those that the kernel gives to outgoing channels, so
 // that it stays free until a process listens on it.
 func freePortOn(host string) int {
 	for range 1000 {
 		port := 12000 + rand.IntN(20000)
+		if givenPorts[port] {
+			continue
+		}
 		l, err := net.Listen("tcp", host+":"+strconv.Itoa(port))
 		if err == nil {
 			_ = l.Close()
+			givenPorts[port] = true
 			return port
 		}
 	}
