--- a/review/.standin/late.go
+++ b/review/.standin/late.go
@@ -14,6 +14,11 @@
 	})
 	c := newClient(p)
 	time.Sleep(4 * time.Second)
+	for _, e := range p.engines {
+		e.mu.Lock()
+		e.faulty = garbleFrom(time.Now())
+		e.mu.Unlock()
+	}
 	var mu sync.Mutex
 	sent, wrong := 0, 0
 	c.every(60*time.Millisecond, 40*time.Second, func() {
@@ -28,6 +33,13 @@
 		}
 	})
 	c.wait.Wait()
+	answers, extras := 0, 0
+	for _, e := range p.engines {
+		e.mu.Lock()
+		answers, extras = answers+e.answers, extras+e.extras
+		e.mu.Unlock()
+	}
+	rec.note("answers of the two faulty engines in the 5 s of the fault: %d, sent a second time: %d", answers, extras)
 	rec.note("streams: %d, answered with a success that no server gave: %d", sent, wrong)
 	return wrong == 0
 }
