Registrar: the offset of the list moves together with the changes that it stands for

A daemon recorded the end of a read, or of an update from a hub, before it applied the changes. A heartbeat that was answered in between named an offset whose changes the receiver never got: it kept using an upstream that had left, or never used a new one. A delayed update could also list an upstream again that the daemon had removed since, and no later update held its removal.

Apply takes changes and offset under one lock. Of an update that ends before the known offset it takes only removals.

Before: TestOffsetIsVisibleOnlyWithItsChanges failed with '0 != 20' (an offset named 20 changes of which none was applied), TestDelayedUpdateBringsNoRemovedUpstreamBack with '[a b] != [a]'. Both pass now, also with -race.

--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -175,34 +175,28 @@
 			next = identifier.NoOffset
 			continue
 		}
-		g.registrar.RecordRead(next, 0, false)
-		g.applyUpstreams(log, batch, isFullRead)
-		g.registrar.RecordRead(next, 0, isFullRead)
+		g.registrar.Apply(g.updateOf(log, batch, isFullRead))
 		repeater.Sleep(ctx, g.Clock, registrar.ReadInterval)
 	}
 	return ctx.Err()
 }
 
-// applyUpstreams passes a batch of changes to the registrar. After a full read it
-// also removes the upstreams that the batch lacks.
-func (g *Gateway) applyUpstreams(log *slog.Logger, batch UpstreamBatch, isFullRead bool) {
-	listed := make(map[identifier.UpstreamName]bool)
+// updateOf returns a batch of changes as an update of the registrar, a snapshot after a
+// full read. An upstream whose record cannot be parsed is removed.
+func (g *Gateway) updateOf(log *slog.Logger, batch UpstreamBatch, isFullRead bool) registrar.Update {
+	update := registrar.Update{NextOffset: batch.NextOffset, IsSnapshot: isFullRead}
 	for _, change := range batch.Changes {
-		switch {
-		case change.Deleted:
-			g.registrar.Remove(change.Name, change.Offset)
-		case change.ParseError != nil:
+		if change.ParseError != nil {
 			g.Meter.CountEvent(meter.EventMalformedRecord)
 			log.Warn("An upstream record cannot be parsed.", "name", change.Name, "err", change.ParseError)
-			g.registrar.Remove(change.Name, change.Offset)
-		default:
-			listed[change.Name] = true
-			g.registrar.Put(change.Entry)
 		}
+		if change.Deleted || change.ParseError != nil {
+			update.Removed = append(update.Removed, registrar.Removal{Name: change.Name, Offset: change.Offset})
+			continue
+		}
+		update.Entries = append(update.Entries, change.Entry)
 	}
-	if isFullRead {
-		g.registrar.Retain(listed, batch.NextOffset)
-	}
+	return update
 }
 
 // notifyUpstreamsChanged wakes distributeUpstreams.
--- a/process/gateway/hubs.go
+++ b/process/gateway/hubs.go
@@ -135,6 +135,6 @@
 		logger.For(g.Log, logger.Members).Debug("A hub sent changes of the list of daemons that it hears.", "hub", heartbeat.VM, "changed", len(roster.Members), "departed", len(roster.Departed), "whole", roster.Base == 0)
 	}
 	if heartbeat.Relay.Upstreams != nil {
-		g.registrar.ApplyUpdate(*heartbeat.Relay.Upstreams)
+		g.registrar.Apply(*heartbeat.Relay.Upstreams)
 	}
 }
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -107,26 +107,6 @@
 	}
 }
 
-// RecordRead records that the list was read up to nextOffset, excluding it, the
-// given age ago. If complete is true, all entries up to there have been applied.
-func (r *Registrar) RecordRead(nextOffset identifier.Offset, age time.Duration, complete bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.clock.Now()
-	if !r.readAt.IsZero() && now.Sub(r.readAt) > outageMargin+r.maxReadGap() {
-		r.recoveredAt = now
-	}
-	at := now.Add(-age)
-	if at.After(r.readAt) {
-		r.readAt = at
-	}
-	r.nextOffset = max(r.nextOffset, nextOffset)
-	if complete && !r.isComplete {
-		r.isComplete = true
-		r.deltaStart = r.nextOffset
-	}
-}
-
 // NextOffset returns the offset after the last record that was read, or NoOffset
 // before the list was read completely.
 func (r *Registrar) NextOffset() identifier.Offset {
@@ -138,8 +118,8 @@
 	return r.nextOffset
 }
 
-// Update brings another daemon's list up to NextOffset, with the changes or with a
-// snapshot. The tags keep the names that a gateway's /v1/status reports.
+// Update brings a list up to NextOffset, with the changes or with a snapshot. The tags
+// keep the names that a gateway's /v1/status reports.
 type Update struct {
 	NextOffset identifier.Offset `json:"Upto"`
 	// Age is the time since the list was read.
@@ -179,21 +159,40 @@
 	return update
 }
 
-// ApplyUpdate applies an update from another daemon.
-func (r *Registrar) ApplyUpdate(update Update) {
-	r.RecordRead(update.NextOffset, update.Age, false)
+// Apply applies what was read from the store, or an update from another daemon. The
+// changes and the offset that stands for them become visible together.
+func (r *Registrar) Apply(update Update) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	if !r.readAt.IsZero() && now.Sub(r.readAt) > outageMargin+r.maxReadGap() {
+		r.recoveredAt = now
+	}
+	// An update that ends before NextOffset holds nothing new, but may list upstreams
+	// that have been removed since.
+	isOutdated := r.isComplete && update.NextOffset < r.nextOffset
 	names := make(map[identifier.UpstreamName]bool, len(update.Entries))
 	for _, entry := range update.Entries {
 		names[entry.Name] = true
-		r.Put(entry)
+		if !isOutdated {
+			r.put(entry)
+		}
 	}
 	for _, removal := range update.Removed {
-		r.Remove(removal.Name, removal.Offset)
+		r.removeOrDefer(removal.Name, removal.Offset)
 	}
 	if update.IsSnapshot {
-		r.Retain(names, update.NextOffset)
+		r.retain(names, update.NextOffset)
+	}
+	at := now.Add(-update.Age)
+	if at.After(r.readAt) {
+		r.readAt = at
+	}
+	r.nextOffset = max(r.nextOffset, update.NextOffset)
+	if update.IsSnapshot && !r.isComplete {
+		r.isComplete = true
+		r.deltaStart = r.nextOffset
 	}
-	r.RecordRead(update.NextOffset, update.Age, update.IsSnapshot)
 }
 
 // maxReadGap returns the longest time between two reads outside of an outage.
@@ -222,12 +221,10 @@
 	return r.clock.Since(r.readAt)
 }
 
-// Put adds or replaces an upstream's entry. It ignores an entry older than the
+// put adds or replaces an upstream's entry. It ignores an entry older than the
 // known one or than the upstream's removal, and removes another upstream with an
-// older entry at the same address.
-func (r *Registrar) Put(entry Entry) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// older entry at the same address. The caller holds the lock.
+func (r *Registrar) put(entry Entry) {
 	old, known := r.entries[entry.Name]
 	removalOffset, isRemoved := r.removalOffsets[entry.Name]
 	if (known && old.Offset > entry.Offset) || (isRemoved && removalOffset > entry.Offset) {
@@ -236,7 +233,7 @@
 	delete(r.removalOffsets, entry.Name)
 	for name, other := range r.entries {
 		if name != entry.Name && other.Address == entry.Address && other.Offset < entry.Offset {
-			r.removeLocked(name, entry.Offset)
+			r.remove(name, entry.Offset)
 		}
 	}
 	delete(r.deferredRemovals, entry.Name)
@@ -248,12 +245,11 @@
 	}
 }
 
-// Remove removes an upstream as of an offset. It ignores a removal older than the
+// removeOrDefer removes an upstream as of an offset. It ignores a removal older than the
 // known entry. Right after an outage a ready upstream stays in use until
-// recoveryGrace ends, as its entry may have expired only because of the outage.
-func (r *Registrar) Remove(name identifier.UpstreamName, offset identifier.Offset) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// recoveryGrace ends, as its entry may have expired only because of the outage. The
+// caller holds the lock.
+func (r *Registrar) removeOrDefer(name identifier.UpstreamName, offset identifier.Offset) {
 	entry, known := r.entries[name]
 	if !known || entry.Offset > offset {
 		return
@@ -267,12 +263,12 @@
 		}
 		return
 	}
-	r.removeLocked(name, offset)
+	r.remove(name, offset)
 }
 
-// removeLocked removes an upstream and remembers the offset for updates. The
-// caller holds the lock.
-func (r *Registrar) removeLocked(name identifier.UpstreamName, offset identifier.Offset) {
+// remove removes an upstream and remembers the offset for updates. The caller holds
+// the lock.
+func (r *Registrar) remove(name identifier.UpstreamName, offset identifier.Offset) {
 	delete(r.entries, name)
 	delete(r.deferredRemovals, name)
 	delete(r.changeOffsets, name)
@@ -300,19 +296,14 @@
 	r.deltaStart = max(r.deltaStart, oldest+1)
 }
 
-// Retain removes all upstreams but the given ones, after a complete read.
-func (r *Registrar) Retain(names map[identifier.UpstreamName]bool, offset identifier.Offset) {
-	r.mu.Lock()
-	var missing []identifier.UpstreamName
+// retain removes all upstreams but the given ones, after a complete read. The caller
+// holds the lock.
+func (r *Registrar) retain(names map[identifier.UpstreamName]bool, offset identifier.Offset) {
 	for name := range r.entries {
 		if !names[name] {
-			missing = append(missing, name)
+			r.removeOrDefer(name, offset)
 		}
 	}
-	r.mu.Unlock()
-	for _, name := range missing {
-		r.Remove(name, offset)
-	}
 }
 
 // MarkStale records that another upstream responded at an entry's address. The
@@ -334,7 +325,7 @@
 	for name, entry := range r.entries {
 		until, isDeferred := r.deferredRemovals[name]
 		if isDeferred && now.After(until) {
-			r.removeLocked(name, entry.Offset)
+			r.remove(name, entry.Offset)
 			continue
 		}
 		staleOffset, isStale := r.staleEntries[name]
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -29,21 +30,27 @@
 
 func newComplete(clock clockwork.Clock, entries ...Entry) *Registrar {
 	r := New(clock)
-	r.RecordRead(0, 0, false)
-	for _, e := range entries {
-		r.Put(e)
-	}
-	r.RecordRead(10, 0, true)
+	r.Apply(Update{NextOffset: 10, IsSnapshot: true, Entries: entries})
 	return r
 }
 
+// putEntries applies entries whose last one was the newest record of the list.
+func putEntries(r *Registrar, entries ...Entry) {
+	r.Apply(Update{NextOffset: entries[len(entries)-1].Offset + 1, Entries: entries})
+}
+
+// removeEntry applies a removal that was the newest record of the list.
+func removeEntry(r *Registrar, name string, offset identifier.Offset) {
+	r.Apply(Update{NextOffset: offset + 1, Removed: []Removal{{identifier.UpstreamName(name), offset}}})
+}
+
 func TestUpstreamsThatDrainOrLeaveGetNoNewWork(t *testing.T) {
 	is := is.New(t)
 	r := newComplete(clockwork.NewFakeClock(), entry("a", "1", 1), entry("b", "2", 2), entry("c", "3", 3))
 	draining := entry("a", "1", 11)
 	draining.State = StateDraining
-	r.Put(draining)
-	r.Remove("b", 12)
+	putEntries(r, draining)
+	removeEntry(r, "b", 12)
 	is.Equal(names(r.Ready("s")), []string{"c"})
 	is.Equal(names(r.All()), []string{"a", "c"})
 }
@@ -53,18 +60,17 @@
 	r := newComplete(clockwork.NewFakeClock(), entry("a", "1", 5))
 	draining := entry("a", "1", 4)
 	draining.State = StateDraining
-	r.Put(draining)
-	r.Remove("a", 3)
+	r.Apply(Update{NextOffset: 11, Entries: []Entry{draining}, Removed: []Removal{{"a", 3}}})
 	is.Equal(names(r.Ready("s")), []string{"a"})
-	r.Remove("a", 7)
-	r.Put(entry("a", "1", 6))
+	r.Apply(Update{NextOffset: 11, Removed: []Removal{{"a", 7}}})
+	r.Apply(Update{NextOffset: 11, Entries: []Entry{entry("a", "1", 6)}})
 	is.Equal(len(r.Ready("s")), 0)
 }
 
 func TestNewUpstreamAtAnAddressReplacesTheOld(t *testing.T) {
 	is := is.New(t)
 	r := newComplete(clockwork.NewFakeClock(), entry("old", "1", 1))
-	r.Put(entry("new", "1", 2))
+	putEntries(r, entry("new", "1", 12))
 	is.Equal(names(r.Ready("s")), []string{"new"})
 }
 
@@ -74,7 +80,7 @@
 	r := newComplete(clockwork.NewFakeClock(), e)
 	r.MarkStale(e)
 	is.Equal(len(r.Ready("s")), 0)
-	r.Put(entry("a", "1", 2))
+	putEntries(r, entry("a", "1", 12))
 	is.Equal(len(r.Ready("s")), 1)
 }
 
@@ -83,13 +89,10 @@
 	clock := clockwork.NewFakeClock()
 	r := newComplete(clock, entry("back", "1", 1), entry("gone", "2", 2))
 	clock.Advance(6 * time.Second)
-	r.RecordRead(11, 0, false)
-	r.Remove("back", 12)
-	r.Remove("gone", 13)
+	r.Apply(Update{NextOffset: 14, Removed: []Removal{{"back", 12}, {"gone", 13}}})
 	is.Equal(len(r.Ready("s")), 2)
 	clock.Advance(time.Second)
-	r.RecordRead(14, 0, false)
-	r.Put(entry("back", "1", 14))
+	putEntries(r, entry("back", "1", 14))
 	clock.Advance(1100 * time.Millisecond)
 	is.Equal(names(r.Ready("s")), []string{"back"})
 }
@@ -99,8 +102,7 @@
 	clock := clockwork.NewFakeClock()
 	r := newComplete(clock, entry("a", "1", 1))
 	clock.Advance(ReadInterval + ReadWait)
-	r.RecordRead(11, 0, false)
-	r.Remove("a", 11)
+	removeEntry(r, "a", 11)
 	is.Equal(len(r.Ready("s")), 0)
 }
 
@@ -110,16 +112,14 @@
 	hub := newComplete(clock, entry("a", "1", 1), entry("b", "2", 2))
 	other := New(clock)
 	is.True(New(clock).UpdateSince(identifier.NoOffset) == nil) // the list is not read yet
-	other.ApplyUpdate(*hub.UpdateSince(other.NextOffset()))
+	other.Apply(*hub.UpdateSince(other.NextOffset()))
 	is.Equal(names(other.Ready("s")), []string{"a", "b"})
 	is.True(other.IsComplete())
-	hub.Put(entry("a", "1", 15)) // only the offset differs
-	hub.Put(entry("c", "3", 16))
-	hub.Remove("b", 17)
-	hub.RecordRead(18, 0, false)
+	putEntries(hub, entry("a", "1", 15), entry("c", "3", 16)) // of a, only the offset differs
+	removeEntry(hub, "b", 17)
 	update := hub.UpdateSince(other.NextOffset())
 	is.Equal(names(update.Entries), []string{"c"})
-	other.ApplyUpdate(*update)
+	other.Apply(*update)
 	is.Equal(names(other.Ready("s")), []string{"a", "c"})
 	is.Equal(other.NextOffset(), identifier.Offset(18))
 }
@@ -130,7 +130,50 @@
 	hub := newComplete(clock, entry("a", "1", 1))
 	clock.Advance(900 * time.Millisecond)
 	other := New(clock)
-	other.ApplyUpdate(*hub.UpdateSince(identifier.NoOffset))
+	other.Apply(*hub.UpdateSince(identifier.NoOffset))
 	clock.Advance(100 * time.Millisecond)
 	is.Equal(other.Age(), time.Second)
 }
+
+// Guards against an upstream that a daemon never hears of: a heartbeat that is answered
+// while changes are applied must not name the offset after them.
+func TestOffsetIsVisibleOnlyWithItsChanges(t *testing.T) {
+	is := is.New(t)
+	const updates, entriesPerUpdate = 60, 20
+	r := newComplete(clockwork.NewFakeClock())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range updates {
+			var entries []Entry
+			for range entriesPerUpdate {
+				offset := int64(10 + i*entriesPerUpdate + len(entries))
+				entries = append(entries, entry(fmt.Sprint("u-", offset), fmt.Sprint(offset), offset))
+			}
+			putEntries(r, entries...)
+		}
+	}()
+	for isDone := false; !isDone; {
+		select {
+		case <-done:
+			isDone = true
+		default:
+		}
+		update := r.UpdateSince(10)
+		is.Equal(len(update.Entries), int(update.NextOffset-10))
+	}
+}
+
+// Guards against an upstream that is used for good after it has left: a delayed update
+// lists it, and no later one its removal.
+func TestDelayedUpdateBringsNoRemovedUpstreamBack(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	hub := newComplete(clock, entry("a", "1", 1))
+	other := newComplete(clock, entry("a", "1", 1))
+	putEntries(hub, entry("b", "2", 12))
+	delayed := hub.UpdateSince(other.NextOffset())
+	removeEntry(other, "b", 14) // it has read the list itself
+	other.Apply(*delayed)
+	is.Equal(names(other.Ready("s")), []string{"a"})
+}
--- a/request/proxier/proxier_test.go
+++ b/request/proxier/proxier_test.go
@@ -144,18 +144,18 @@
 	clock := clockwork.NewRealClock()
 	f := &fixture{upstreams: make(map[string]*fakeUpstream)}
 	registry := registrar.New(clock)
-	registry.RecordRead(0, 0, false)
+	update := registrar.Update{NextOffset: 10, IsSnapshot: true}
 	for i, name := range names {
 		u := &fakeUpstream{status: http.StatusOK, disconnected: make(chan struct{})}
 		server := httptest.NewServer(u)
 		t.Cleanup(server.Close)
 		f.upstreams[name] = u
-		registry.Put(registrar.Entry{
+		update.Entries = append(update.Entries, registrar.Entry{
 			Name: identifier.UpstreamName(name), Service: "s", State: registrar.StateReady, Slots: 6,
 			Address: identifier.Address(server.Listener.Addr().String()), Offset: identifier.Offset(i),
 		})
 	}
-	registry.RecordRead(10, 0, true)
+	registry.Apply(update)
 	version := reducer.NewVersion()
 	version.Number = 1
 	version.Services["s"] = parser.Service{Name: "s"}
@@ -202,11 +202,13 @@
 
 // setRoles gives upstreams the roles of engines.
 func (f *fixture) setRoles(roles map[string]parser.Role) {
+	update := registrar.Update{NextOffset: 200}
 	for i, entry := range f.Registrar.All() {
 		entry.Role = roles[string(entry.Name)]
 		entry.Offset = identifier.Offset(100 + i)
-		f.Registrar.Put(entry)
+		update.Entries = append(update.Entries, entry)
 	}
+	f.Registrar.Apply(update)
 }
 
 // place grants the test's engine pairs in order.
