Store: read on after the last record that came, not at the end of the topic (CONFIG)

Cause: a response holds 1,024 KB of records at most, and the end of the whole topic. decodeBatch took that end for the offset to read next, so that the records behind the first response were never read. The daemon also counted as up to date from then on, and hubs confirmed that to the others. The reader of the upstreams had the same fault (DRAIN). The epochs did not: their tailer goes by the records.

Now a batch has the offset after its records and, apart from it, the end. A daemon counts as confirmed only by a read that reached the end, reads on at once while more follows, and pauses if a response holds none of the records that follow.

--- a/process/gateway/drivers.go
+++ b/process/gateway/drivers.go
@@ -23,8 +23,10 @@
 	Versions []*reducer.Version
 	// ParseErrors holds an error for each record that could not be parsed.
 	ParseErrors []error
-	// NextOffset is the offset to read next.
+	// NextOffset is the offset to read next, the one after the last record that was
+	// read. ReachedEnd reports that no further record followed then.
 	NextOffset identifier.Offset
+	ReachedEnd bool
 	// Truncated reports that the platform deleted records before they were read.
 	Truncated bool
 }
@@ -43,8 +45,10 @@
 // UpstreamBatch is the result of reading upstream records from the platform.
 type UpstreamBatch struct {
 	Changes []UpstreamChange
-	// NextOffset is the offset to read next.
+	// NextOffset is the offset to read next, the one after the last record that was
+	// read. ReachedEnd reports that no further record followed then.
 	NextOffset identifier.Offset
+	ReachedEnd bool
 	// Truncated reports that the platform deleted records before they were read.
 	Truncated bool
 }
--- a/process/gateway/fleet_benchmark_test.go
+++ b/process/gateway/fleet_benchmark_test.go
@@ -105,6 +105,7 @@
 	s.await(ctx, wait, func() bool {
 		batch.Changes = slices.Clone(s.upstreams[min(len(s.upstreams), int(max(0, from))):])
 		batch.NextOffset = identifier.Offset(len(s.upstreams))
+		batch.ReachedEnd = true
 		return len(batch.Changes) > 0
 	})
 	return batch, ctx.Err()
@@ -149,10 +150,10 @@
 		NewestEpoch:  func(context.Context) ([]byte, identifier.Offset, error) { return nil, identifier.NoOffset, nil },
 		ReadVersions: func(ctx context.Context, from identifier.Offset, wait time.Duration) (VersionBatch, error) {
 			if !isKnown(from) {
-				return VersionBatch{Versions: []*reducer.Version{version}, NextOffset: 1}, nil
+				return VersionBatch{Versions: []*reducer.Version{version}, NextOffset: 1, ReachedEnd: true}, nil
 			}
 			s.await(ctx, wait, func() bool { return false })
-			return VersionBatch{NextOffset: from}, ctx.Err()
+			return VersionBatch{NextOffset: from, ReachedEnd: true}, ctx.Err()
 		},
 		ReadUpstreams: s.readUpstreams,
 		NewestClaim:   func(context.Context, string) (leaser.NewestClaim, error) { return leaser.NewestClaim{}, nil },
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -91,11 +91,17 @@
 			log.Info("The store is back.", "version", g.Follower.Version().Number)
 			isUnreachable = false
 		}
+		isStuck := !batch.ReachedEnd && batch.NextOffset == next
 		next = batch.NextOffset
 		if batch.Truncated {
 			next = identifier.NoOffset
 			continue
 		}
+		if isStuck {
+			log.Debug("A read returned none of the records that follow.", "offset", next)
+			repeater.Sleep(ctx, g.Clock, retryDelay)
+			continue
+		}
 		for _, parseErr := range batch.ParseErrors {
 			g.Meter.CountEvent(meter.EventMalformedRecord)
 			log.Warn("A configuration record cannot be parsed.", "err", parseErr)
@@ -103,7 +109,9 @@
 		for _, version := range batch.Versions {
 			g.Follower.Install(version)
 		}
-		g.Confirmer.RecordLogRead(appender.StreamConfig, requestedAt)
+		if batch.ReachedEnd {
+			g.Confirmer.RecordLogRead(appender.StreamConfig, requestedAt)
+		}
 		if g.Follower.Version().Number != identifier.NoOffset {
 			g.VersionLoaded.Store(true)
 		}
@@ -170,13 +178,16 @@
 			continue
 		}
 		isFullRead := next == identifier.NoOffset
+		hasProgressed := batch.NextOffset > next
 		next = batch.NextOffset
 		if batch.Truncated {
 			next = identifier.NoOffset
 			continue
 		}
 		g.registrar.Apply(g.updateOf(log, batch, isFullRead))
-		repeater.Sleep(ctx, g.Clock, registrar.ReadInterval)
+		if batch.ReachedEnd || !hasProgressed {
+			repeater.Sleep(ctx, g.Clock, registrar.ReadInterval)
+		}
 	}
 	return ctx.Err()
 }
@@ -185,6 +196,9 @@
 // full read. An upstream whose record cannot be parsed is removed.
 func (g *Gateway) updateOf(log *slog.Logger, batch UpstreamBatch, isFullRead bool) registrar.Update {
 	update := registrar.Update{NextOffset: batch.NextOffset, IsSnapshot: isFullRead}
+	if !batch.ReachedEnd {
+		update.Age = g.registrar.Age()
+	}
 	for _, change := range batch.Changes {
 		if change.ParseError != nil {
 			g.Meter.CountEvent(meter.EventMalformedRecord)
