Registrar: a removal that was deferred is relayed to the other daemons (DRAIN)

When one took effect, it was recorded as of the entry's old offset. The other daemons had heard of a later offset by then, so that no update held the removal, and an upstream that was gone stayed in use there.

The removal keeps its own offset, and every update holds it for 20 s, as the daemons defer at different times and may have read on behind it. It has no effect where the upstream has come back since.

Before: TestDeferredRemovalIsRelayed failed with '[a b] != [a]'.

--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -27,6 +27,9 @@
 	// maxRemoved is how many removed upstreams are remembered for updates to
 	// other daemons.
 	maxRemoved = 512
+	// lateRemovalRelay is how long every update holds a removal that was deferred. The
+	// daemons defer it at different times, and may have read on behind it meanwhile.
+	lateRemovalRelay = 20 * time.Second
 )
 
 // State tells whether an upstream takes new work.
@@ -69,14 +72,13 @@
 	// staleEntries maps upstreams at whose address another upstream responded to
 	// the offset of the stale entry. An entry with a higher offset is used again.
 	staleEntries map[identifier.UpstreamName]identifier.Offset
-	// deferredRemovals maps upstreams that were removed from the list just after
-	// an outage to the time until which they stay in use.
-	deferredRemovals map[identifier.UpstreamName]time.Time
+	// deferredRemovals holds the upstreams that were removed from the list just after
+	// an outage and stay in use for a while.
+	deferredRemovals map[identifier.UpstreamName]deferredRemoval
 	// changeOffsets holds the offset of the last record that changed an entry in
-	// more than its offset, and removalOffsets the offset as of which an upstream
-	// was removed.
-	changeOffsets  map[identifier.UpstreamName]identifier.Offset
-	removalOffsets map[identifier.UpstreamName]identifier.Offset
+	// more than its offset.
+	changeOffsets map[identifier.UpstreamName]identifier.Offset
+	removals      map[identifier.UpstreamName]removal
 	// nextOffset is the offset after the last record that was read. Updates since
 	// deltaStart or a later offset can list the changes alone; earlier ones need
 	// a snapshot.
@@ -91,6 +93,18 @@
 	isComplete bool
 }
 
+// deferredRemoval is a removal as of an offset that takes effect after until.
+type deferredRemoval struct {
+	offset identifier.Offset
+	until  time.Time
+}
+
+// removal is a removal as of an offset. Every update holds it until relayedUntil.
+type removal struct {
+	offset       identifier.Offset
+	relayedUntil time.Time
+}
+
 // New returns a registrar without upstreams.
 func New(clock clockwork.Clock) *Registrar {
 	return &Registrar{
@@ -98,12 +112,11 @@
 		clock:            clock,
 		entries:          make(map[identifier.UpstreamName]Entry),
 		staleEntries:     make(map[identifier.UpstreamName]identifier.Offset),
-		deferredRemovals: make(map[identifier.UpstreamName]time.Time),
-
-		changeOffsets:  make(map[identifier.UpstreamName]identifier.Offset),
-		removalOffsets: make(map[identifier.UpstreamName]identifier.Offset),
-		nextOffset:     identifier.NoOffset,
-		deltaStart:     identifier.NoOffset,
+		deferredRemovals: make(map[identifier.UpstreamName]deferredRemoval),
+		changeOffsets:    make(map[identifier.UpstreamName]identifier.Offset),
+		removals:         make(map[identifier.UpstreamName]removal),
+		nextOffset:       identifier.NoOffset,
+		deltaStart:       identifier.NoOffset,
 	}
 }
 
@@ -151,9 +164,10 @@
 			update.Entries = append(update.Entries, entry)
 		}
 	}
-	for name, offset := range r.removalOffsets {
-		if offset >= from {
-			update.Removed = append(update.Removed, Removal{Name: name, Offset: offset})
+	now := r.clock.Now()
+	for name, removed := range r.removals {
+		if removed.offset >= from || now.Before(removed.relayedUntil) {
+			update.Removed = append(update.Removed, Removal{Name: name, Offset: removed.offset})
 		}
 	}
 	return update
@@ -226,17 +240,20 @@
 // older entry at the same address. The caller holds the lock.
 func (r *Registrar) put(entry Entry) {
 	old, known := r.entries[entry.Name]
-	removalOffset, isRemoved := r.removalOffsets[entry.Name]
-	if (known && old.Offset > entry.Offset) || (isRemoved && removalOffset > entry.Offset) {
+	removed, isRemoved := r.removals[entry.Name]
+	if (known && old.Offset > entry.Offset) || (isRemoved && removed.offset > entry.Offset) {
 		return
 	}
-	delete(r.removalOffsets, entry.Name)
+	delete(r.removals, entry.Name)
 	for name, other := range r.entries {
 		if name != entry.Name && other.Address == entry.Address && other.Offset < entry.Offset {
-			r.remove(name, entry.Offset)
+			r.remove(name, removal{offset: entry.Offset})
 		}
 	}
-	delete(r.deferredRemovals, entry.Name)
+	deferred, isDeferred := r.deferredRemovals[entry.Name]
+	if isDeferred && deferred.offset < entry.Offset {
+		delete(r.deferredRemovals, entry.Name)
+	}
 	r.entries[entry.Name] = entry
 	old.Offset = entry.Offset
 	if old != entry {
@@ -259,20 +276,19 @@
 	if entry.State == StateReady && !r.recoveredAt.IsZero() && sinceRecovery < recoveryGrace {
 		_, isDeferred := r.deferredRemovals[name]
 		if !isDeferred {
-			r.deferredRemovals[name] = r.recoveredAt.Add(recoveryGrace)
+			r.deferredRemovals[name] = deferredRemoval{offset: offset, until: r.recoveredAt.Add(recoveryGrace)}
 		}
 		return
 	}
-	r.remove(name, offset)
+	r.remove(name, removal{offset: offset})
 }
 
-// remove removes an upstream and remembers the offset for updates. The caller holds
-// the lock.
-func (r *Registrar) remove(name identifier.UpstreamName, offset identifier.Offset) {
+// remove removes an upstream and remembers that for updates. The caller holds the lock.
+func (r *Registrar) remove(name identifier.UpstreamName, removed removal) {
 	delete(r.entries, name)
 	delete(r.deferredRemovals, name)
 	delete(r.changeOffsets, name)
-	r.removalOffsets[name] = offset
+	r.removals[name] = removed
 	r.evictOldestRemoval()
 	r.OnChange()
 }
@@ -281,18 +297,18 @@
 // remembered. Updates since that offset or an earlier one are snapshots from then
 // on.
 func (r *Registrar) evictOldestRemoval() {
-	if len(r.removalOffsets) <= maxRemoved {
+	if len(r.removals) <= maxRemoved {
 		return
 	}
 	oldest := identifier.Offset(math.MaxInt64)
 	var name identifier.UpstreamName
-	for candidate, offset := range r.removalOffsets {
-		if offset < oldest {
-			oldest = offset
+	for candidate, removed := range r.removals {
+		if removed.offset < oldest {
+			oldest = removed.offset
 			name = candidate
 		}
 	}
-	delete(r.removalOffsets, name)
+	delete(r.removals, name)
 	r.deltaStart = max(r.deltaStart, oldest+1)
 }
 
@@ -323,9 +339,9 @@
 	now := r.clock.Now()
 	var ready []Entry
 	for name, entry := range r.entries {
-		until, isDeferred := r.deferredRemovals[name]
-		if isDeferred && now.After(until) {
-			r.remove(name, entry.Offset)
+		deferred, isDeferred := r.deferredRemovals[name]
+		if isDeferred && now.After(deferred.until) {
+			r.remove(name, removal{offset: deferred.offset, relayedUntil: now.Add(lateRemovalRelay)})
 			continue
 		}
 		staleOffset, isStale := r.staleEntries[name]
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -177,3 +177,28 @@
 	other.Apply(*delayed)
 	is.Equal(names(other.Ready("s")), []string{"a"})
 }
+
+// Guards against DRAIN: a hub defers the removal of an upstream that is gone, and reads on
+// meanwhile. The other daemons must hear of it all the same.
+func TestDeferredRemovalIsRelayed(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	hub := newComplete(clock, entry("a", "1", 1), entry("b", "2", 2))
+	other := New(clock)
+	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	clock.Advance(6 * time.Second)
+	removeEntry(hub, "b", 12)
+	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	clock.Advance(recoveryGrace / 2)
+	putEntries(hub, entry("a", "1", 20))
+	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	is.Equal(names(other.Ready("s")), []string{"a", "b"})
+	clock.Advance(recoveryGrace/2 + time.Millisecond)
+	is.Equal(names(hub.Ready("s")), []string{"a"})
+	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	is.Equal(names(other.Ready("s")), []string{"a"})
+	// One that comes back later is used again.
+	putEntries(hub, entry("b", "2", 30))
+	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	is.Equal(names(other.Ready("s")), []string{"a", "b"})
+}
