--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -76,7 +76,7 @@
 	// an outage and stay in use for a while.
 	deferredRemovals map[identifier.UpstreamName]deferredRemoval
 	// changeOffsets holds the offset of the last record that changed an entry in
-	// more than its offset.
+	// more than its offset, or that brought it back during a deferred removal.
 	changeOffsets map[identifier.UpstreamName]identifier.Offset
 	removals      map[identifier.UpstreamName]removal
 	// nextOffset is the offset after the last record that was read. Updates since
@@ -251,12 +251,13 @@
 		}
 	}
 	deferred, isDeferred := r.deferredRemovals[entry.Name]
-	if isDeferred && deferred.offset < entry.Offset {
+	isBack := isDeferred && deferred.offset < entry.Offset
+	if isBack {
 		delete(r.deferredRemovals, entry.Name)
 	}
 	r.entries[entry.Name] = entry
 	old.Offset = entry.Offset
-	if old != entry {
+	if old != entry || isBack {
 		r.changeOffsets[entry.Name] = entry.Offset
 		r.OnChange()
 	}
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -202,3 +202,21 @@
 	other.Apply(*hub.UpdateSince(other.NextOffset()))
 	is.Equal(names(other.Ready("s")), []string{"a", "b"})
 }
+
+// Guards against RECOVER: upstreams whose entries expired in an outage of the store and came
+// back unchanged were no change for the hubs. A daemon that had read their removal itself
+// lost them for good.
+func TestUpstreamThatComesBackAfterAnOutageIsRelayed(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	hub := newComplete(clock, entry("a", "1", 1))
+	other := newComplete(clock, entry("a", "1", 1))
+	clock.Advance(6 * time.Second)
+	removeEntry(other, "a", 12) // it has read the list itself
+	hub.Apply(Update{NextOffset: 15, Removed: []Removal{{"a", 12}}})
+	putEntries(hub, entry("a", "1", 15))
+	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	clock.Advance(recoveryGrace + time.Millisecond)
+	is.Equal(names(hub.Ready("s")), []string{"a"})
+	is.Equal(names(other.Ready("s")), []string{"a"})
+}
