--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -203,9 +203,11 @@
 		r.readAt = at
 	}
 	r.nextOffset = max(r.nextOffset, update.NextOffset)
-	if update.IsSnapshot && !r.isComplete {
+	if update.IsSnapshot {
+		// The records before a snapshot, which may have removed an upstream and brought
+		// it back, are not known.
 		r.isComplete = true
-		r.deltaStart = r.nextOffset
+		r.deltaStart = max(r.deltaStart, update.NextOffset)
 	}
 }
 
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -220,3 +220,16 @@
 	is.Equal(names(hub.Ready("s")), []string{"a"})
 	is.Equal(names(other.Ready("s")), []string{"a"})
 }
+
+// Guards against an upstream that a daemon loses for good: a hub that was behind the
+// retained records reads the whole list, and does not know what its last records changed.
+func TestUpdateAfterAFullReadIsASnapshot(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	hub := newComplete(clock, entry("a", "1", 1))
+	other := newComplete(clock, entry("a", "1", 1))
+	removeEntry(other, "a", 12)
+	hub.Apply(Update{NextOffset: 20, IsSnapshot: true, Entries: []Entry{entry("a", "1", 15)}})
+	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	is.Equal(names(other.Ready("s")), []string{"a"})
+}
