--- a/connection/tailer/tailer.go
+++ b/connection/tailer/tailer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -31,7 +32,7 @@
 	// Read reads a batch of records from the log, as appender.Client.Read does.
 	Read func(ctx context.Context, stream identifier.StreamName, from identifier.Offset, limit int, maxWait time.Duration) (appender.Batch, error)
 	// NextOffset returns the offset of the record to read next. The calls of Handle
-	// and OnTruncated must advance it.
+	// and OnTruncated must advance it. Records behind it are not handled.
 	NextOffset func() identifier.Offset
 	// Handle processes a record.
 	Handle func(appender.Record)
@@ -90,6 +91,10 @@
 		}
 	}
 	for _, record := range batch.Records {
+		next := t.NextOffset()
+		if record.Offset > next {
+			return fmt.Errorf("the log returned record %d, but %d comes next", record.Offset, next)
+		}
 		t.Handle(record)
 	}
 	t.OnRead(requestedAt, t.NextOffset() >= batch.NextOffset)
