Publisher, snapshotter: reads that leave out records are errors

A response with none of the records that follow was read again at once, without a pause, until the call's timeout, and the publisher applied records behind missing ones.

Before: TestReadWithoutTheRecordsThatFollowIsAnError failed with 'the log is read again and again', TestCatchUpLeavesNoRecordOut too, and in its second case with a nil error.

--- a/version/publisher/publisher.go
+++ b/version/publisher/publisher.go
@@ -133,11 +133,17 @@
 			return fmt.Errorf("the records before %d are gone and no snapshot covers them", batch.OldestOffset)
 		}
 		for _, record := range batch.Records {
+			if record.Offset != r.Version().Number+1 {
+				return fmt.Errorf("the log returned record %d after %d", record.Offset, r.Version().Number)
+			}
 			r.Apply(record.Offset, record.Data)
 		}
 		if r.Version().Number+1 >= batch.NextOffset {
 			return nil
 		}
+		if len(batch.Records) == 0 {
+			return fmt.Errorf("the log returned none of the records from %d on", from)
+		}
 	}
 }
 
--- a/version/snapshotter/snapshotter.go
+++ b/version/snapshotter/snapshotter.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -56,6 +57,9 @@
 		if from >= batch.NextOffset {
 			return version, epoch, nil
 		}
+		if len(batch.Records) == 0 {
+			return nil, epoch, fmt.Errorf("the log returned none of the records from %d on", from)
+		}
 	}
 }
 
