--- a/request/quarantiner/quarantiner.go
+++ b/request/quarantiner/quarantiner.go
@@ -35,14 +35,16 @@
 	crashWindow = time.Second
 	// evidenceAge is the age up to which a crash is held against a part.
 	evidenceAge = 2 * time.Minute
-	// maxCrashes, maxSuspects, maxParts, maxStarts and maxQuarantines bound the memory:
-	// the crashes remembered, the requests of each, the parts of each, the parts whose
-	// last start is known, and the parts in quarantine.
-	maxCrashes     = 64
-	maxSuspects    = 48
-	maxParts       = 32
-	maxStarts      = 8192
-	maxQuarantines = 256
+	// maxCrashes, maxSuspects, maxParts, maxSuspectParts, maxStarts and maxQuarantines
+	// bound the memory: the crashes remembered, the requests of each, the parts of each,
+	// the parts of all requests of all crashes, the parts whose last start is known, and
+	// the parts in quarantine.
+	maxCrashes      = 64
+	maxSuspects     = 48
+	maxParts        = 1024
+	maxSuspectParts = 16384
+	maxStarts       = 32768
+	maxQuarantines  = 256
 	// maxSuspicions limits the evidence that is passed on to other daemons.
 	maxSuspicions = 64
 )
@@ -198,10 +200,11 @@
 		return nil
 	}
 	c := q.findCrash(cut.Engine, now)
-	if len(c.suspects) >= maxSuspects {
+	if len(c.suspects) >= maxSuspects || c.partCount()+len(cut.Parts) > maxSuspectParts {
 		return nil
 	}
 	c.suspects = append(c.suspects, cut)
+	q.limitSuspectParts()
 	wasExplained := c.explained
 	for _, part := range cut.Parts {
 		held, ok := q.quarantines[part]
@@ -285,6 +288,26 @@
 	}
 }
 
+// limitSuspectParts forgets the oldest crashes if there are too many parts in all.
+func (q *Quarantiner) limitSuspectParts() {
+	count := 0
+	for i := len(q.crashes) - 1; i >= 0; i-- {
+		count += q.crashes[i].partCount()
+		if count > maxSuspectParts {
+			q.crashes = slices.Delete(q.crashes, 0, i+1)
+			return
+		}
+	}
+}
+
+// partCount returns the number of parts of all suspects.
+func (c *crash) partCount() (count int) {
+	for _, cut := range c.suspects {
+		count += len(cut.Parts)
+	}
+	return count
+}
+
 func (c *crash) hasPart(part identifier.PromptPartID) bool {
 	return slices.ContainsFunc(c.suspects, func(cut Cut) bool { return slices.Contains(cut.Parts, part) })
 }
--- a/request/quarantiner/quarantiner_test.go
+++ b/request/quarantiner/quarantiner_test.go
@@ -61,6 +61,15 @@
 			cutRequest(q, 1, 0, "first", "bad", "rare-1")
 			cutRequest(q, 2, 200, "bad", "first", "rare-2")
 		}, parts("bad")},
+		{"a part behind many that sound requests share", func(q *Quarantiner) {
+			shared := make([]identifier.PromptPartID, 200)
+			for i := range shared {
+				shared[i] = identifier.PromptPartID(fmt.Sprint("shared-", i))
+			}
+			cutRequest(q, 1, 0, append(slices.Clone(shared), "bad")...)
+			q.RecordOutput(shared, at(150))
+			cutRequest(q, 2, 200, append(slices.Clone(shared), "bad")...)
+		}, parts("bad")},
 		{"a start between the crashes clears", func(q *Quarantiner) {
 			cutRequest(q, 1, 0, "first")
 			q.RecordOutput(parts("first"), at(150))
@@ -214,6 +223,14 @@
 	is.True(len(q.starts)+len(q.olderStarts) <= maxStarts)
 	is.True(len(q.crashes) <= maxCrashes)
 	is.True(len(q.quarantines) <= maxQuarantines)
-	is.True(len(q.evidence) <= maxCrashes*maxSuspects*maxParts)
+	long := make([]identifier.PromptPartID, maxParts)
+	for i := range 40 {
+		for j := range long {
+			long[j] = identifier.PromptPartID(fmt.Sprintf("long-%d-%d", i, j))
+		}
+		cutRequest(q, 10_000+i, 20_000+10*i, slices.Clone(long)...)
+	}
+	is.True(len(q.evidence) <= maxSuspectParts)
+	is.True(len(q.evidence) >= maxSuspectParts/2)
 	is.True(len(q.Suspicions(at(0))) <= maxSuspicions)
 }
