--- a/connection/messenger/passthrough.go
+++ b/connection/messenger/passthrough.go
@@ -64,6 +64,7 @@
 		Avoid:           toStrings(req.Avoid),
 		HeldBack:        toStrings(req.HeldBack),
 		PromptParts:     toStrings(req.PromptParts),
+		OwnPart:         string(req.OwnPart),
 	}))
 	if err != nil {
 		return grant, nil, err
@@ -148,6 +149,7 @@
 		Avoid:          fromStrings[identifier.UpstreamName](msg.GetAvoid()),
 		HeldBack:       fromStrings[identifier.UpstreamName](msg.GetHeldBack()),
 		PromptParts:    fromStrings[identifier.PromptPartID](msg.GetPromptParts()),
+		OwnPart:        identifier.PromptPartID(msg.GetOwnPart()),
 	})
 	return connect.NewResponse(encodePlacement(grant, refusal)), nil
 }
--- a/connection/messenger/passthrough_test.go
+++ b/connection/messenger/passthrough_test.go
@@ -37,6 +37,7 @@
 		MaxOutput:      80,
 		OutputHint:     70,
 		PromptParts:    []identifier.PromptPartID{"5c1e07a2", "91bd3f06"},
+		OwnPart:        "e4402b7d",
 		Priority:       2,
 		TimeToDeadline: -300 * time.Millisecond,
 		MaxWait:        14 * time.Second,
--- a/request/placer/pool.go
+++ b/request/placer/pool.go
@@ -92,6 +92,9 @@
 	OutputHint identifier.Tokens
 	// PromptParts lists the parts of the prompt that other requests may share.
 	PromptParts []identifier.PromptPartID
+	// OwnPart is the last part of the prompt, which only the request itself or those of
+	// its session have.
+	OwnPart identifier.PromptPartID
 	// Priority orders the queue; lower values go first.
 	Priority int
 	// TimeToDeadline is the time left until the first event is due, negative if it
--- a/request/placer/queue.go
+++ b/request/placer/queue.go
@@ -97,7 +97,7 @@
 }
 
 func shapeOf(req Request) quarantiner.Shape {
-	return quarantiner.Shape{PromptTokens: req.PromptTokens, MaxOutput: req.MaxOutput, OutputHint: req.OutputHint}
+	return quarantiner.Shape{PromptTokens: req.PromptTokens, MaxOutput: req.MaxOutput, OutputHint: req.OutputHint, OwnPart: req.OwnPart}
 }
 
 // Cancel removes a request from the queue. It returns false if the request
--- a/request/proxier/proxier.go
+++ b/request/proxier/proxier.go
@@ -70,6 +70,8 @@
 	Timeout time.Duration
 	// PromptParts lists the parts of the prompt that other requests may share.
 	PromptParts []identifier.PromptPartID
+	// OwnPart is the last part of the prompt, empty if unknown.
+	OwnPart identifier.PromptPartID
 	// Tokens holds the token counts, nil for a request without a prompt.
 	Tokens *TokenCounts
 	// LastEventID is the id of the last event that the caller received, empty for a
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -196,6 +196,7 @@
 		MaxWait:        min(maxEngineWait(ss)-now.Sub(ss.waitingSince), ss.deadline.Sub(now)),
 		Avoid:          ss.excluded,
 		PromptParts:    ss.req.PromptParts,
+		OwnPart:        ss.req.OwnPart,
 	}
 	if ss.req.Tokens != nil {
 		placementRequest.PromptTokens = ss.req.Tokens.PromptTokens
--- a/request/quarantiner/quarantiner.go
+++ b/request/quarantiner/quarantiner.go
@@ -49,12 +49,13 @@
 	maxSuspicions = 64
 )
 
-// Shape tells requests apart that have the same parts. Repeats of a request have its
-// shape.
+// Shape tells requests apart that share parts. Repeats of a request have its shape.
 type Shape struct {
 	PromptTokens identifier.Tokens
 	MaxOutput    identifier.Tokens
 	OutputHint   identifier.Tokens
+	// OwnPart is the last part of the prompt. The requests of a session have the same.
+	OwnPart identifier.PromptPartID
 }
 
 // Cut is the end of a request whose engine broke off before the request's output.
--- a/request/quarantiner/quarantiner_test.go
+++ b/request/quarantiner/quarantiner_test.go
@@ -97,6 +97,13 @@
 				q.RecordCut(cut, at(200*i+100))
 			}
 		}, nil},
+		{"requests of one size with parts of their own", func(q *Quarantiner) {
+			for i := range 2 {
+				shape := Shape{PromptTokens: 5200, MaxOutput: 1500, OutputHint: 70, OwnPart: identifier.PromptPartID(fmt.Sprint("own-", i))}
+				cut := Cut{Engine: identifier.UpstreamName(fmt.Sprint(i)), Parts: parts("bad"), Shape: shape, PlacedAt: at(200 * i)}
+				q.RecordCut(cut, at(200*i+100))
+			}
+		}, parts("bad")},
 		{"one engine that fails again and again proves nothing", func(q *Quarantiner) {
 			for i := range 5 {
 				cut := Cut{Engine: "e", Parts: parts("own"), Shape: Shape{PromptTokens: identifier.Tokens(i)}, PlacedAt: at(2000 * i)}
