Quarantine: test that cuts of all connections at one moment cost nothing

Tried and reverted: that four in ten don't start is the ejection, as the cuts of one moment count as consecutive failures of an engine, which is then left alone for up to 6 s.

--- a/request/placer/quarantine_test.go
+++ b/request/placer/quarantine_test.go
@@ -58,6 +58,8 @@
 	sign       crashSign
 	resetEvery time.Duration
 	burstEvery time.Duration
+	// hidesParts keeps the parts from the pool, so that it holds and refuses nothing.
+	hidesParts bool
 }
 
 // crashSign says what is seen of an engine that crashes at a request.
@@ -205,7 +207,10 @@
 func (s *crashSimulation) submit(r *crashRequest) {
 	s.number++
 	req := newRequest(s.number, 5000+r.shape%400, 1500)
-	req.PromptParts, req.Avoid = r.parts, r.avoid
+	req.Avoid = r.avoid
+	if !s.hidesParts {
+		req.PromptParts = r.parts
+	}
 	if r.poisoned < 0 && r.attempt == 0 {
 		s.result.sound++
 	}
@@ -485,6 +490,23 @@
 	}
 }
 
+// A fault of the network that cuts all connections at the same moment must cost no request
+// more than it does without the quarantine.
+func TestCutsOfAllConnectionsQuarantineNothing(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			is := is.New(t)
+			load := crashLoad{rate: 40, firstParts: 1, subjects: 2000, burstEvery: 5 * time.Second}
+			r := runCrashDay(load, seed)
+			load.hidesParts = true
+			without := runCrashDay(load, seed)
+			t.Logf("sound %d, started %d, without the quarantine %d, quarantined %d", r.sound, r.soundStarted, without.soundStarted, r.quarantined)
+			is.Equal(r.quarantined, 0)
+			is.True(float64(r.soundStarted) >= 0.9*float64(without.soundStarted))
+		})
+	}
+}
+
 // placeStarting places a request with some parts.
 func placeStarting(t *testing.T, p *Pool, number int64, at time.Time, parts ...identifier.PromptPartID) Grant {
 	t.Helper()
