--- a/connection/exchanger/conn.go
+++ b/connection/exchanger/conn.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"sassafraspass.dev/sassafraspass/connection/rationer"
 	"sassafraspass.dev/sassafraspass/identifier"
 )
 
@@ -105,15 +106,26 @@
 	// exceeded is set by a read beyond the limit. The parser of a head may report
 	// an incomplete line instead of the error of that read.
 	exceeded bool
+	// ration holds the memory of a head beyond freeHeadBytes.
+	ration *rationer.Ration
 }
 
+// freeHeadBytes is the size up to which a head takes nothing from the memory that all
+// requests share.
+const freeHeadBytes = 8 << 10
+
 // start allows maxHeadBytes from now on.
 func (l *headLimit) start() {
 	l.active = true
 	l.bytesLeft = maxHeadBytes
 }
 
-func (l *headLimit) stop() { l.active = false }
+func (l *headLimit) stop() {
+	l.active = false
+	l.release()
+}
+
+func (l *headLimit) release() { l.ration.Release() }
 
 // hasRead reports whether any byte was read since the limit was started.
 func (l *headLimit) hasRead() bool { return l.active && l.bytesLeft < maxHeadBytes }
@@ -129,6 +141,10 @@
 	}
 	n, err = l.source.Read(p[:min(len(p), l.bytesLeft)])
 	l.bytesLeft -= n
+	if !l.ration.Resize(int64(max(0, maxHeadBytes-l.bytesLeft-freeHeadBytes))) {
+		l.exceeded = true
+		return 0, ErrHeadTooLarge
+	}
 	return n, err
 }
 
--- a/connection/exchanger/endless_test.go
+++ b/connection/exchanger/endless_test.go
@@ -8,12 +8,16 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"sassafraspass.dev/sassafraspass/connection/rationer"
 	"sassafraspass.dev/sassafraspass/identifier"
 )
 
@@ -87,6 +91,36 @@
 	}
 }
 
+// Guards against a VM that runs out of memory: a server that sends heads without end may do
+// so on many connections at a time, slowly, and each within its own limit.
+func TestLongHeadsTogetherStayWithinTheMemory(t *testing.T) {
+	is := is.New(t)
+	const total, exchanges = 256 << 10, 30
+	address := startServer(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+		_, _ = http.ReadRequest(in)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("a", maxHeadBytes/2))
+		_, _ = in.ReadByte()
+	})
+	x := newExchanger(t)
+	x.Memory = rationer.New(total)
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	var refused atomic.Int64
+	var group sync.WaitGroup
+	for i := range exchanges {
+		group.Go(func() {
+			_, err := x.Exchange(ctx, address, newRequest(strconv.Itoa(i)))
+			if errors.Is(err, ErrHeadTooLarge) {
+				refused.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	is.True(refused.Load() > 0)
+	is.True(x.Memory.Peak() <= total)
+	is.Equal(x.Memory.Used(), int64(0))
+}
+
 func TestLongHeadWithinTheLimitIsRead(t *testing.T) {
 	is := is.New(t)
 	address := startServer(t, func(_ int, conn net.Conn, in *bufio.Reader) {
--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -20,6 +20,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"sassafraspass.dev/sassafraspass/connection/rationer"
 	"sassafraspass.dev/sassafraspass/identifier"
 )
 
@@ -123,6 +124,8 @@
 	// request without an id gets a connection of its own. If EchoedID is nil, every
 	// request may use every connection.
 	EchoedID func(header http.Header) string
+	// Memory bounds the bytes of all heads that are being read.
+	Memory *rationer.Rationer
 
 	clock clockwork.Clock
 
@@ -180,6 +183,7 @@
 		stop()
 		_ = c.Close()
 		<-c.sendDone
+		defer c.limit.release()
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
@@ -214,6 +218,7 @@
 	c.sendDone = make(chan struct{})
 	go c.send(httpReq, c.sendDone)
 	mismatched := 0
+	c.limit.ration = x.Memory.Begin()
 	c.limit.start()
 	for {
 		resp, err := http.ReadResponse(c.reader, httpReq)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"sassafraspass.dev/sassafraspass/connection/drainer"
 	"sassafraspass.dev/sassafraspass/connection/exchanger"
 	"sassafraspass.dev/sassafraspass/connection/opener"
+	"sassafraspass.dev/sassafraspass/connection/rationer"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/asserter"
 	"sassafraspass.dev/sassafraspass/process/configurer"
@@ -67,6 +68,9 @@
 	// memoryLimitFraction is the fraction of the VM's memory that is set as the memory
 	// limit of the Go runtime.
 	memoryLimitFraction = 0.6
+	// bufferFraction is the fraction of the VM's memory that bodies and heads may take
+	// while they are buffered.
+	bufferFraction = 0.2
 	pruneInterval       = 500 * time.Millisecond
 )
 
@@ -88,6 +92,7 @@
 	reserver     *reserver.Reserver
 	retryBudget  *budgeter.Budgeter
 	exchanger    *exchanger.Exchanger
+	memory       *rationer.Rationer
 	ejector      *ejector.Ejector
 	proxier      *proxier.Proxier
 	callerServer *http.Server
@@ -122,11 +127,14 @@
 			closers[i]()
 		}
 	}
+	var memory *rationer.Rationer
 	if settings.Gateway.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * settings.Gateway.MemoryMiB * (1 << 20)))
+		memory = rationer.New(int64(bufferFraction * settings.Gateway.MemoryMiB * (1 << 20)))
 	}
 	g = &Gateway{
 		drivers:          drivers,
+		memory:           memory,
 		upstreamsChanged: make(chan struct{}, 1),
 		vmList:           newVMListTracker(),
 	}
--- a/process/gateway/wire.go
+++ b/process/gateway/wire.go
@@ -93,6 +93,7 @@
 	x, closeExchanger := exchanger.New(deps.Clock)
 	x.IsMatchingResponse = g.drivers.IsMatchingResponse
 	x.EchoedID = g.drivers.EchoedID
+	x.Memory = g.memory
 	g.exchanger = x
 	g.drainer = drainer.New(deps.Clock)
 	g.ejector = ejector.New(deps.Clock, g.currentSettings().Zone)
@@ -113,6 +114,7 @@
 		Placements:    proxier.PlacementClient{Place: g.broker.Acquire, Report: g.broker.ForwardReport, NextKey: g.nextPlacementKey},
 		Exchanger:     x,
 		Drainer:       g.drainer,
+		Memory:        g.memory,
 		Protocol:      g.drivers.RequestProtocol,
 		ConfigAge:     f.Confirmer.ConfirmationAge,
 		Clock:         deps.Clock,
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -51,9 +51,10 @@
 	PromptTooLarge           Code = "prompt-too-large"
 	PrefillFailed            Code = "prefill-failed"
 	StreamTruncated          Code = "stream-cut"
-	Quarantined              Code = "quarantined"     // a part of the prompt crashes engines
-	CrashSuspected           Code = "crash-suspected" // a part of the prompt may crash engines
-	HeldBack                 Code = "held-back"       // the upstreams asked to be left alone for a while
+	Quarantined              Code = "quarantined"      // a part of the prompt crashes engines
+	CrashSuspected           Code = "crash-suspected"  // a part of the prompt may crash engines
+	HeldBack                 Code = "held-back"        // the upstreams asked to be left alone for a while
+	MemoryExhausted          Code = "memory-exhausted" // the VM buffers too many bytes for other requests
 )
 
 // Codes lists all codes, so that each has a counter when the daemon starts.
@@ -66,6 +67,7 @@
 	EarlierResponseNotKept,
 	ResumeUnknown, ResumeMalformed, CallerGone, ConcurrencyLimitReached,
 	PromptTooLarge, PrefillFailed, StreamTruncated, Quarantined, CrashSuspected, HeldBack,
+	MemoryExhausted,
 }
 
 // Refusal is an error response to a caller, whether the request ran or not. It
--- a/request/proxier/endless_test.go
+++ b/request/proxier/endless_test.go
@@ -8,12 +8,14 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"sassafraspass.dev/sassafraspass/connection/exchanger"
+	"sassafraspass.dev/sassafraspass/connection/rationer"
 	"sassafraspass.dev/sassafraspass/request/placer"
 	"sassafraspass.dev/sassafraspass/version/parser"
 )
@@ -365,3 +367,30 @@
 	}
 	awaitSignal(t, closed)
 }
+
+// Guards against a VM that runs out of memory: a server that sends bytes without end may
+// do so in the responses to many callers at a time, each within its own limit.
+func TestEndlessBodiesTogetherStayWithinTheMemory(t *testing.T) {
+	is := is.New(t)
+	const total, callers = 1 << 20, 40
+	f := newFixture(t, parser.Route{Kind: parser.RouteNonIdempotent, MaxAttempts: 1}, "a")
+	f.Memory = rationer.New(total)
+	f.upstreams["a"].respond = func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte(strings.Repeat("x", maxBufferedBytes-1)))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() { _, _, _ = f.serve(context.Background(), time.Second) })
+	}
+	group.Wait()
+	is.True(f.Memory.Peak() > total/2)
+	is.True(f.Memory.Peak() <= total)
+	is.Equal(f.Memory.Used(), int64(0))
+	f.upstreams["a"].respond = nil
+	w, refusal, err := f.serve(context.Background(), time.Second)
+	is.NoErr(err)
+	is.True(refusal == nil)
+	is.Equal(w.Code, http.StatusOK)
+}
--- a/request/proxier/plain.go
+++ b/request/proxier/plain.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sassafraspass.dev/sassafraspass/connection/exchanger"
+	"sassafraspass.dev/sassafraspass/connection/rationer"
 	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/process/registrar"
 	"sassafraspass.dev/sassafraspass/refuser"
@@ -46,6 +47,8 @@
 	// end records the outcome of a hop whose response has more than body. It is nil
 	// if the outcome is already recorded.
 	end func(ejector.Outcome)
+	// ration holds the memory of body.
+	ration *rationer.Ration
 }
 
 func (r hopResult) isFailure() bool {
@@ -131,6 +134,7 @@
 }
 
 func (r hopResult) close() {
+	r.ration.Release()
 	if r.response != nil {
 		_ = r.response.Body.Close()
 	}
@@ -219,8 +223,10 @@
 		p.Log.Info("An address has another upstream.", "id", rs.req.ID, "upstream", upstream.Name, "offset", upstream.Offset)
 	}
 	rs.mayHaveRun = rs.mayHaveRun || !r.notRun
-	r.body, r.hasMore, err = readBodyPrefix(response.Body, maxBufferedBytes)
+	r.ration = p.Memory.Begin()
+	r.body, r.hasMore, err = readBodyPrefix(r.ration, response, maxBufferedBytes)
 	if err != nil {
+		r.ration.Release()
 		_ = response.Body.Close()
 		return hopResult{err: fmt.Errorf("read the response of %s: %w", upstream.Name, err), notRun: r.notRun, misdirected: r.misdirected, incomplete: true}
 	}
@@ -230,10 +236,13 @@
 	return r
 }
 
-// readBodyPrefix reads up to limit bytes. hasMore reports whether the limit was
-// reached, so that more bytes may follow.
-func readBodyPrefix(r io.Reader, limit int64) (prefix []byte, hasMore bool, err error) {
-	prefix, err = io.ReadAll(io.LimitReader(r, limit))
+// readBodyPrefix reads up to limit bytes of a response, or fewer if no memory is left.
+// hasMore reports whether more bytes may follow.
+func readBodyPrefix(ration *rationer.Ration, response *exchanger.Response, limit int64) (prefix []byte, hasMore bool, err error) {
+	prefix, err = ration.ReadAll(io.LimitReader(response.Body, limit), min(response.ContentLength, limit))
+	if errors.Is(err, rationer.ErrExhausted) {
+		return prefix, true, nil
+	}
 	if err != nil {
 		return nil, false, err
 	}
--- a/request/proxier/proxier.go
+++ b/request/proxier/proxier.go
@@ -20,6 +20,7 @@
 
 	"sassafraspass.dev/sassafraspass/connection/drainer"
 	"sassafraspass.dev/sassafraspass/connection/exchanger"
+	"sassafraspass.dev/sassafraspass/connection/rationer"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/logger"
 	"sassafraspass.dev/sassafraspass/process/meter"
@@ -157,6 +158,8 @@
 	Exchanger     *exchanger.Exchanger
 	Drainer       *drainer.Drainer
 	Protocol      Protocol
+	// Memory bounds the bytes that are buffered for all requests together.
+	Memory *rationer.Rationer
 
 	// ConfigAge returns the age of the configuration, negative if unknown.
 	ConfigAge func() time.Duration
@@ -331,6 +334,13 @@
 	return refuser.NewIndeterminate(http.StatusBadGateway, code, "%s", reason)
 }
 
+// RefuseForMemory returns the refusal for a request for whose body no memory is left.
+func (p *Proxier) RefuseForMemory(req *Request) *refuser.Refusal {
+	refusal := refuser.New(http.StatusServiceUnavailable, refuser.MemoryExhausted, "this VM buffers too many bytes for other requests").WithRetryAfter(shortRetryAfter)
+	p.logRefused(req, nil, refusal)
+	return refusal
+}
+
 func (p *Proxier) logRefused(req *Request, rs *requestState, refusal *refuser.Refusal) {
 	p.Meter.CountRefusal(refusal.Code)
 	attrs := []any{
--- a/request/proxier/relay.go
+++ b/request/proxier/relay.go
@@ -37,6 +37,8 @@
 	// eventlessBytes counts the bytes that were relayed after the last event.
 	eventlessBytes := 0
 	var splitter blockSplitter
+	ration := p.Memory.Begin()
+	defer ration.Release()
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, readErr := response.Body.Read(buf)
@@ -56,7 +58,7 @@
 			return fmt.Errorf("%w: %w", errCallerWrite, err)
 		}
 		switch {
-		case eventlessBytes+splitter.pendingBytes() > maxEventBytes:
+		case eventlessBytes+splitter.pendingBytes() > maxEventBytes, !ration.Resize(splitter.bufferBytes()):
 			return errEventTooLarge
 		case errors.Is(readErr, io.EOF) && splitter.pendingBytes() == 0 && engineEvents > 0:
 			report.Output = identifier.Tokens(engineEvents) * ss.service.Engine.TokensPerEvent
@@ -93,6 +95,9 @@
 	return s.buf[:s.complete]
 }
 
+// bufferBytes returns the size of the buffer beyond that of one read.
+func (s *blockSplitter) bufferBytes() int64 { return int64(max(0, cap(s.buf)-readBufferBytes)) }
+
 // pendingBytes returns the size of the last, incomplete block.
 func (s *blockSplitter) pendingBytes() int { return len(s.buf) - s.complete }
 
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -393,7 +393,9 @@
 // relayFailure relays the error response of an engine that executed the request. It
 // returns a refusal if the response is not complete or too large.
 func (p *Proxier) relayFailure(ctx context.Context, ss *streamState, engine registrar.Entry, response *exchanger.Response, report *placer.Report) (*refuser.Refusal, error) {
-	body, hasMore, err := readBodyPrefix(response.Body, maxBufferedBytes)
+	ration := p.Memory.Begin()
+	defer ration.Release()
+	body, hasMore, err := readBodyPrefix(ration, response, maxBufferedBytes)
 	if err == nil && hasMore {
 		err = errResponseTooLarge
 	}
