--- a/connection/drainer/conn.go
+++ b/connection/drainer/conn.go
@@ -5,9 +5,13 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // listener hands out connections that its drainer knows.
@@ -28,12 +32,33 @@
 }
 
 // stopAccepting closes the underlying listener. Accept then blocks until Close, as the
-// server would end if it returned an error.
+// server would end if it returned an error. The kernel resets connections that were not
+// accepted by then, so it lets the server accept them first, for maxBacklogWait.
 func (l *listener) stopAccepting() {
+	for deadline := time.Now().Add(maxBacklogWait); l.hasBacklog() && time.Now().Before(deadline); {
+		time.Sleep(backlogPollInterval)
+	}
 	l.stopped.Store(true)
 	_ = l.Listener.Close()
 }
 
+// hasBacklog reports whether a connection waits to be accepted.
+func (l *listener) hasBacklog() (hasBacklog bool) {
+	syscallConn, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rawConn, err := syscallConn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = rawConn.Control(func(fd uintptr) {
+		ready, pollErr := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		hasBacklog = pollErr == nil && ready > 0
+	})
+	return hasBacklog
+}
+
 // Accept returns the next connection.
 func (l *listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
@@ -64,12 +89,23 @@
 	state http.ConnState
 	// isWaiting is set while no byte of the next request was read.
 	isWaiting bool
-	// isExpired is set if the read deadline is in the past, so that the server closes
-	// the connection unless a byte arrives first. A Close instead would abort a request
-	// that was read and is not served yet.
+	// isExpired is set if the read deadline is in the past, or that of the first request,
+	// so that the server closes the connection unless a byte arrives first. A Close
+	// instead would abort a request that was read and is not served yet.
 	isExpired bool
 }
 
+const (
+	// unreadGrace is the time that an expired connection has to read bytes that had
+	// arrived before.
+	unreadGrace = 5 * time.Millisecond
+	// defaultFirstRequestGrace is the value of Drainer.firstRequestGrace.
+	defaultFirstRequestGrace = 250 * time.Millisecond
+	// maxBacklogWait limits the time until the connections that wait to be accepted are.
+	maxBacklogWait      = 250 * time.Millisecond
+	backlogPollInterval = time.Millisecond
+)
+
 // trackedConn is a conn, or embeds one.
 type trackedConn interface {
 	tracked() *conn
@@ -85,22 +121,44 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.conns[c] = struct{}{}
+	if d.closesNew {
+		c.expire()
+	}
 	return c
 }
 
 // expire makes the server close the connection if it waits for a request. The drainer's
 // lock must be held.
 func (c *conn) expire() {
-	if c.isWaiting {
-		c.isExpired = true
-		_ = c.Conn.SetReadDeadline(expired)
+	if !c.isWaiting {
+		return
+	}
+	c.isExpired = true
+	deadline := expired
+	if c.state == http.StateNew {
+		deadline = time.Now().Add(c.drainer.firstRequestGrace)
+	}
+	_ = c.Conn.SetReadDeadline(deadline)
+}
+
+// extendExpiry lets an expired connection read what has arrived. It returns false if the
+// connection is not expired.
+func (c *conn) extendExpiry() bool {
+	c.drainer.mu.Lock()
+	defer c.drainer.mu.Unlock()
+	if c.isExpired {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(unreadGrace))
 	}
+	return c.isExpired
 }
 
 // Read reads from the connection. Once a byte of a request was read, the connection is
 // not expired any more.
 func (c *conn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendExpiry() {
+		n, err = c.Conn.Read(p)
+	}
 	if n == 0 {
 		return n, err
 	}
--- a/connection/drainer/conn_test.go
+++ b/connection/drainer/conn_test.go
@@ -308,3 +308,44 @@
 	_, err := in.ReadByte()
 	is.True(errors.Is(err, io.EOF))
 }
+
+// Guards against a reset without an answer: a caller that opens a connection just before the
+// listener closes has not sent its request yet.
+func TestConnectionOpenedAsTheListenerClosesIsServed(t *testing.T) {
+	is := is.New(t)
+	l := &pausingListener{}
+	d := startDraining(t, l)
+	d.firstRequestGrace = 5 * time.Second
+	c, in := dial(t, l)
+	await(t, func() bool { return d.connCount() == 1 })
+	d.Begin(0, 10*time.Second)
+	drained := make(chan error, 1)
+	go func() { drained <- d.Drain(context.Background()) }()
+	awaitRefused(t, l)
+	time.Sleep(defaultFirstRequestGrace / 5)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	readServed(is, in)
+	is.NoErr(<-drained)
+}
+
+// Guards against a reset without an answer: the kernel resets the connections that wait to be
+// accepted when their listener closes.
+func TestConnectionsThatWaitAreAcceptedBeforeTheListenerCloses(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	d := New(clockwork.NewRealClock())
+	l := d.Listen(inner)
+	t.Cleanup(func() { _ = l.Close() })
+	c, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() { _ = c.Close() })
+	d.Begin(0, 5*time.Second)
+	go func() { _ = d.Drain(context.Background()) }()
+	time.Sleep(maxBacklogWait / 5)
+	time.AfterFunc(2*time.Second, func() { _ = l.Close() })
+	accepted, err := l.Accept()
+	is.NoErr(err)
+	is.NoErr(accepted.Close())
+}
--- a/connection/drainer/drainer.go
+++ b/connection/drainer/drainer.go
@@ -54,16 +54,21 @@
 	ending    context.Context
 	endSignal context.CancelFunc
 	listener  atomic.Pointer[listener]
+	// firstRequestGrace is the time that a new connection has for its first request once
+	// the listener closes. Callers open connections only to send one.
+	firstRequestGrace time.Duration
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
-	// closesWaiting is set if connections that wait for a request are closed.
+	// closesWaiting is set if connections that wait for a further request are closed, and
+	// closesNew if those that wait for their first one are, too.
 	closesWaiting bool
+	closesNew     bool
 }
 
 // New returns a drainer for a server that is not shutting down.
 func New(clock clockwork.Clock) *Drainer {
-	d := &Drainer{clock: clock, conns: make(map[*conn]struct{})}
+	d := &Drainer{clock: clock, firstRequestGrace: defaultFirstRequestGrace, conns: make(map[*conn]struct{})}
 	d.ending, d.endSignal = context.WithCancel(context.Background())
 	return d
 }
@@ -141,6 +146,9 @@
 	if l != nil {
 		l.stopAccepting()
 	}
+	d.mu.Lock()
+	d.closesNew = true
+	d.mu.Unlock()
 	d.closeWaiting(func(*conn) bool { return true })
 	shutdown, _ := d.Shutdown()
 	for d.connCount() > 0 {
