Registrar: a long time without a read is no outage of the store (DRAIN)

Right after an outage a daemon defers removals by two seconds. It took any 1.5 s without a read for one. A daemon that is no hub reads the list itself only when what it has heard is 1.6 s old, so each such read counted as the end of an outage, and so did a pause of its process. An upstream that had left then was used for two seconds more, beyond drainMs.

Now an outage takes a read that failed or was slow, here or at the hub whose update comes. The tests of what follows an outage say that reads fail meanwhile.

Before, with the old condition: two cases of TestRemovalIsDeferredOnlyAfterAnOutage failed ('long time without a read', 'outage before the last read').

--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -171,7 +171,9 @@
 			repeater.Sleep(ctx, g.Clock, readDuePollInterval)
 			continue
 		}
+		requestedAt := g.Clock.Now()
 		batch, err := g.drivers.ReadUpstreams(ctx, next, registrar.ReadWait)
+		g.registrar.RecordReadTime(g.Clock.Since(requestedAt), err != nil)
 		if err != nil {
 			g.Meter.CountRetry(meter.RetryLogRead)
 			repeater.Sleep(ctx, g.Clock, retryDelay)
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// outageMargin is how much longer than maxReadGap the list must have gone unread
-	// for the gap to count as an outage, after which removals are deferred.
+	// outageMargin is how much longer than maxReadGap the list must have gone unread, and
+	// how much longer than ReadWait a read must have taken, to count as an outage of the
+	// store, after which removals are deferred.
 	outageMargin = 500 * time.Millisecond
 	// recoveryGrace is how long after an outage an upstream that is missing from
 	// the list stays in use. Upstreams whose entries expired during the outage
@@ -87,6 +88,10 @@
 	// readAt is when the list was last read, here or by the daemon that sent an
 	// update.
 	readAt time.Time
+	// isOutageSuspected is set if a read failed since readAt, here or at the daemon that
+	// sent an update. A long time without a read is no outage alone: this daemon may have
+	// relied on the others, or may have been paused.
+	isOutageSuspected bool
 	// recoveredAt is when the list was first read again after the last outage.
 	recoveredAt time.Time
 	// isComplete is true once the whole list has been read.
@@ -179,9 +184,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	if !r.readAt.IsZero() && now.Sub(r.readAt) > outageMargin+r.maxReadGap() {
-		r.recoveredAt = now
-	}
+	r.detectRecovery(update.Age, now)
 	// An update that ends before NextOffset holds nothing new, but may list upstreams
 	// that have been removed since.
 	isOutdated := r.isComplete && update.NextOffset < r.nextOffset
@@ -211,6 +214,27 @@
 	}
 }
 
+// RecordReadTime records how long a read of the list took, and whether it failed.
+func (r *Registrar) RecordReadTime(took time.Duration, failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isOutageSuspected = r.isOutageSuspected || failed || took > outageMargin+ReadWait
+}
+
+// detectRecovery sets recoveredAt if an update of the given age is the first one after an
+// outage. The caller holds the lock.
+func (r *Registrar) detectRecovery(age time.Duration, now time.Time) {
+	longest := outageMargin + r.maxReadGap()
+	if age > longest {
+		r.isOutageSuspected = true
+		return
+	}
+	if !r.readAt.IsZero() && now.Sub(r.readAt) > longest && r.isOutageSuspected {
+		r.recoveredAt = now
+	}
+	r.isOutageSuspected = false
+}
+
 // maxReadGap returns the longest time between two reads outside of an outage.
 func (r *Registrar) maxReadGap() time.Duration {
 	return ReadInterval + ReadWait
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -39,6 +39,14 @@
 	r.Apply(Update{NextOffset: entries[len(entries)-1].Offset + 1, Entries: entries})
 }
 
+// passOutage lets the reads of all daemons fail for a while.
+func passOutage(clock *clockwork.FakeClock, daemons ...*Registrar) {
+	for _, r := range daemons {
+		r.RecordReadTime(0, true)
+	}
+	clock.Advance(6 * time.Second)
+}
+
 // removeEntry applies a removal that was the newest record of the list.
 func removeEntry(r *Registrar, name string, offset identifier.Offset) {
 	r.Apply(Update{NextOffset: offset + 1, Removed: []Removal{{identifier.UpstreamName(name), offset}}})
@@ -88,7 +96,7 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
 	r := newComplete(clock, entry("back", "1", 1), entry("gone", "2", 2))
-	clock.Advance(6 * time.Second)
+	passOutage(clock, r)
 	r.Apply(Update{NextOffset: 14, Removed: []Removal{{"back", 12}, {"gone", 13}}})
 	is.Equal(len(r.Ready("s")), 2)
 	clock.Advance(time.Second)
@@ -186,7 +194,7 @@
 	hub := newComplete(clock, entry("a", "1", 1), entry("b", "2", 2))
 	other := New(clock)
 	other.Apply(*hub.UpdateSince(other.NextOffset()))
-	clock.Advance(6 * time.Second)
+	passOutage(clock, hub, other)
 	removeEntry(hub, "b", 12)
 	other.Apply(*hub.UpdateSince(other.NextOffset()))
 	clock.Advance(recoveryGrace / 2)
@@ -211,7 +219,7 @@
 	clock := clockwork.NewFakeClock()
 	hub := newComplete(clock, entry("a", "1", 1))
 	other := newComplete(clock, entry("a", "1", 1))
-	clock.Advance(6 * time.Second)
+	passOutage(clock, hub, other)
 	removeEntry(other, "a", 12) // it has read the list itself
 	hub.Apply(Update{NextOffset: 15, Removed: []Removal{{"a", 12}}})
 	putEntries(hub, entry("a", "1", 15))
@@ -233,3 +241,47 @@
 	other.Apply(*hub.UpdateSince(other.NextOffset()))
 	is.Equal(names(other.Ready("s")), []string{"a"})
 }
+
+// Guards against DRAIN: a daemon that had heard of no hub for a while, or had been paused, took
+// that for an outage of the store, and used an upstream that had left for two seconds more.
+func TestRemovalIsDeferredOnlyAfterAnOutage(t *testing.T) {
+	tests := []struct {
+		name         string
+		beforeIt     func(r *Registrar, clock *clockwork.FakeClock)
+		wantDeferred bool
+	}{
+		{"long time without a read", func(_ *Registrar, clock *clockwork.FakeClock) { clock.Advance(10 * time.Second) }, false},
+		{"failed read", func(r *Registrar, clock *clockwork.FakeClock) {
+			r.RecordReadTime(time.Millisecond, true)
+			clock.Advance(3 * time.Second)
+		}, true},
+		{"failed read that was repeated at once", func(r *Registrar, clock *clockwork.FakeClock) {
+			r.RecordReadTime(time.Millisecond, true)
+			clock.Advance(time.Second)
+		}, false},
+		{"slow read", func(r *Registrar, clock *clockwork.FakeClock) {
+			clock.Advance(2 * time.Second)
+			r.RecordReadTime(1200*time.Millisecond, false)
+		}, true},
+		{"a hub that cannot read the list", func(r *Registrar, clock *clockwork.FakeClock) {
+			clock.Advance(3 * time.Second)
+			r.Apply(Update{NextOffset: 10, Age: 3 * time.Second})
+			clock.Advance(time.Second)
+		}, true},
+		{"outage before the last read", func(r *Registrar, clock *clockwork.FakeClock) {
+			passOutage(clock, r)
+			r.Apply(Update{NextOffset: 11})
+			clock.Advance(3 * time.Second)
+		}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := clockwork.NewFakeClock()
+			r := newComplete(clock, entry("a", "1", 1))
+			test.beforeIt(r, clock)
+			removeEntry(r, "a", 12)
+			is.Equal(len(r.Ready("s")) > 0, test.wantDeferred)
+		})
+	}
+}
