--- a/request/proxier/relay.go
+++ b/request/proxier/relay.go
@@ -27,11 +27,17 @@
 func (p *Proxier) relayEvents(ctx context.Context, ss *streamState, response *exchanger.Response, report *placer.Report) error {
 	if !ss.w.headerSent {
 		ss.w.writeHeader(response.StatusCode, response.Header, -1)
+		ss.contentType = response.Header.Get("Content-Type")
 		err := ss.w.flush()
 		if err != nil {
 			return fmt.Errorf("%w: %w", errCallerWrite, err)
 		}
 	}
+	check := newBlockChecker(ss)
+	err := check.checkHeader(response.Header)
+	if err != nil {
+		return err
+	}
 	var firstEventAt time.Time
 	engineEvents := 0
 	// eventlessBytes counts the bytes that were relayed after the last event.
@@ -42,7 +48,7 @@
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, readErr := response.Body.Read(buf)
-		blocks := splitter.add(buf[:n])
+		blocks, blockErr := check.sound(splitter.add(buf[:n]))
 		count, trailingBytes := countEvents(blocks)
 		if count > 0 && engineEvents == 0 {
 			firstEventAt = p.recordStreamStart(ss)
@@ -53,11 +59,13 @@
 		}
 		engineEvents += count
 		eventlessBytes += trailingBytes
-		err := ss.relayBlocks(blocks, count)
+		err = ss.relayBlocks(blocks, count)
 		if err != nil {
 			return fmt.Errorf("%w: %w", errCallerWrite, err)
 		}
 		switch {
+		case blockErr != nil:
+			return blockErr
 		case eventlessBytes+splitter.pendingBytes() > maxEventBytes, !ration.Resize(splitter.bufferBytes()):
 			return errEventTooLarge
 		case errors.Is(readErr, io.EOF) && splitter.pendingBytes() == 0 && engineEvents > 0:
--- a/request/proxier/stream.go
+++ b/request/proxier/stream.go
@@ -62,12 +62,15 @@
 // errNoPrefillResponse means that no complete response to a prefill arrived.
 var errNoPrefillResponse = errors.New("the prefill engine did not respond")
 
-// errCannotResume means that an engine responded with a failure to a request to resume
-// a stream.
+// errCannotResume means that an engine responded to a request to resume a stream with a
+// failure, or with something that does not continue the stream.
 var errCannotResume = errors.New("the engine cannot resume the stream")
 
+// errNoEvent means that a stream contains a block that is no part of an event stream.
+var errNoEvent = errors.New("the stream contains something that is no event")
+
 // noCrashErrors are the errors of streams whose engine did not break off.
-var noCrashErrors = []error{errCallerWrite, errEventTooLarge, errCannotResume, exchanger.ErrHeadTooLarge, exchanger.ErrMismatchedResponse}
+var noCrashErrors = []error{errCallerWrite, errEventTooLarge, errCannotResume, errNoEvent, exchanger.ErrHeadTooLarge, exchanger.ErrMismatchedResponse}
 
 // streamState is the state of a stream in progress, which may be served by several
 // engine pairs in turn.
@@ -80,6 +83,8 @@
 	// outcome of the latest one.
 	placements  int
 	lastRefusal *refuser.Refusal
+	// contentType is that of the response that the caller receives.
+	contentType string
 	// lastEventID is the id of the last event that the caller received.
 	lastEventID string
 	// eventCount is the number of complete events from all decode engines.
