--- a/connection/drainer/conn.go
+++ b/connection/drainer/conn.go
@@ -229,6 +229,19 @@
 	}
 }
 
+// ResetOnClose makes the close of a request's connection a reset. The context is that of the
+// request.
+func ResetOnClose(ctx context.Context) {
+	c, ok := ctx.Value(connKey{}).(trackedConn)
+	if !ok {
+		return
+	}
+	lingerer, ok := c.tracked().Conn.(interface{ SetLinger(seconds int) error })
+	if ok {
+		_ = lingerer.SetLinger(0)
+	}
+}
+
 // IsReused reports whether the connection of a request carried earlier requests. The
 // context is that of the request.
 func IsReused(ctx context.Context) bool {
