--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -163,9 +163,6 @@
 	*http.Response
 	// Reused is true if the connection carried earlier requests.
 	Reused bool
-	// IsConfirmed is true if the response certainly belongs to the request: it has the
-	// request's id, or the connection carried no earlier request.
-	IsConfirmed bool
 }
 
 // Exchange sends a request once and returns as soon as the response header is
@@ -190,8 +187,7 @@
 		return nil, &SendError{MaybeSent: c.bytesWritten.Load() > 0, Incomplete: c.limit.hasRead(), Err: fmt.Errorf("call %s: %w", address, err)}
 	}
 	c.recordID(id)
-	isReused := c.requestCount > 1
-	response := &Response{Response: resp, Reused: isReused, IsConfirmed: !isReused || x.EchoedID == nil || id != "" && x.EchoedID(resp.Header) == id}
+	response := &Response{Response: resp, Reused: c.requestCount > 1}
 	resp.Body = &responseBody{ReadCloser: resp.Body, exchanger: x, conn: c, stop: stop, ctx: ctx, idleTimeout: idleTimeout(resp)}
 	return response, nil
 }
@@ -235,7 +231,7 @@
 			continue
 		}
 		c.limit.stop()
-		if x.IsMatchingResponse(resp.Header, request.Header) {
+		if x.belongs(resp, request, c) {
 			return resp, nil
 		}
 		mismatched++
@@ -251,6 +247,22 @@
 	}
 }
 
+// belongs reports whether a response belongs to the request that a connection carries now.
+// On a connection with earlier requests, a response without an id does not, as it may be
+// bytes that follow an earlier response. A connection whose upstream sent a response
+// without an id is not reused, so that this is true of any upstream.
+func (x *Exchanger) belongs(resp *http.Response, request Request, c *conn) bool {
+	if !x.IsMatchingResponse(resp.Header, request.Header) {
+		return false
+	}
+	isUnmarked := x.EchoedID != nil && x.EchoedID(resp.Header) == "" && x.EchoedID(request.Header) != ""
+	if isUnmarked && c.requestCount > 1 {
+		return false
+	}
+	c.notReusable = c.notReusable || isUnmarked
+	return true
+}
+
 // idleTimeout returns how long a connection may stay idle after a response, or zero
 // if it must not be reused.
 func idleTimeout(resp *http.Response) time.Duration {
--- a/request/proxier/send.go
+++ b/request/proxier/send.go
@@ -34,14 +34,13 @@
 	return response, nil
 }
 
-// isNotRun reports whether a response states that the request was not executed. A
-// response that may be an earlier one, sent again, states nothing about the request.
+// isNotRun reports whether a response states that the request was not executed.
 func (p *Proxier) isNotRun(response *exchanger.Response) bool {
-	return response.IsConfirmed && p.Protocol.IsNotRun(response.StatusCode, response.Header)
+	return p.Protocol.IsNotRun(response.StatusCode, response.Header)
 }
 
 func (p *Proxier) isMisdirected(response *exchanger.Response) bool {
-	return response.IsConfirmed && p.Protocol.IsMisdirected(response.StatusCode, response.Header)
+	return p.Protocol.IsMisdirected(response.StatusCode, response.Header)
 }
 
 // observe records what a response says about its upstream, unless another upstream sent
