--- a/connection/exchanger/repeated_test.go
+++ b/connection/exchanger/repeated_test.go
@@ -145,13 +145,3 @@
 	readAll(is, response)
 	is.Equal(executed.Load(), int64(0))
 }
-
-func waitFor(holds func() bool) bool {
-	for range 200 {
-		if holds() {
-			return true
-		}
-		<-time.After(5 * time.Millisecond)
-	}
-	return false
-}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -71,7 +71,7 @@
 	// bufferFraction is the fraction of the VM's memory that bodies and heads may take
 	// while they are buffered.
 	bufferFraction = 0.2
-	pruneInterval       = 500 * time.Millisecond
+	pruneInterval  = 500 * time.Millisecond
 )
 
 // Gateway is one daemon of the fleet.
--- a/request/proxier/relay.go
+++ b/request/proxier/relay.go
@@ -25,16 +25,7 @@
 // relayEvents relays only complete events to the caller, as they arrive, so that a
 // stream that is cut inside an event can be resumed after the last complete one.
 func (p *Proxier) relayEvents(ctx context.Context, ss *streamState, response *exchanger.Response, report *placer.Report) error {
-	if !ss.w.headerSent {
-		ss.w.writeHeader(response.StatusCode, response.Header, -1)
-		ss.contentType = response.Header.Get("Content-Type")
-		err := ss.w.flush()
-		if err != nil {
-			return fmt.Errorf("%w: %w", errCallerWrite, err)
-		}
-	}
-	check := newBlockChecker(ss)
-	err := check.checkHeader(response.Header)
+	check, err := ss.beginRelay(response)
 	if err != nil {
 		return err
 	}
@@ -82,6 +73,22 @@
 	}
 }
 
+// beginRelay sends the header of a response, unless the caller has that of an earlier one,
+// and returns the checker of its blocks.
+func (ss *streamState) beginRelay(response *exchanger.Response) (*blockChecker, error) {
+	if ss.w.headerSent {
+		check := newBlockChecker(ss)
+		return check, check.checkHeader(response.Header)
+	}
+	ss.w.writeHeader(response.StatusCode, response.Header, -1)
+	ss.contentType = response.Header.Get("Content-Type")
+	err := ss.w.flush()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errCallerWrite, err)
+	}
+	return newBlockChecker(ss), nil
+}
+
 // blockSplitter splits the bytes of a stream after each eventEnd.
 type blockSplitter struct {
 	buf []byte
