--- a/connection/rationer/rationer.go
+++ b/connection/rationer/rationer.go
@@ -16,6 +16,10 @@
 	// one, whatever length is announced.
 	minBufferBytes      = 1 << 10
 	maxFirstBufferBytes = 64 << 10
+	// Rations of more than smallBytes leave a reserveFraction of the memory to smaller
+	// ones, so that long bodies don't keep out short ones.
+	smallBytes      = 64 << 10
+	reserveFraction = 0.25
 )
 
 // Rationer hands out the memory. It is safe for concurrent use. A nil one sets no limit.
@@ -46,13 +50,18 @@
 	return r.used
 }
 
-func (r *Rationer) add(bytes int64) bool {
+// resize changes the size of a ration. It returns false if there is no room for it.
+func (r *Rationer) resize(from, to int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if bytes > 0 && r.used+bytes > r.total {
+	limit := r.total
+	if to > smallBytes {
+		limit -= int64(reserveFraction * float64(r.total))
+	}
+	if to > from && r.used+to-from > limit {
 		return false
 	}
-	r.used += bytes
+	r.used += to - from
 	r.peak = max(r.peak, r.used)
 	return true
 }
@@ -75,7 +84,7 @@
 	if n == nil || n.rationer == nil {
 		return true
 	}
-	if !n.rationer.add(bytes - n.held) {
+	if !n.rationer.resize(n.held, bytes) {
 		return false
 	}
 	n.held = bytes
--- a/connection/rationer/rationer_test.go
+++ b/connection/rationer/rationer_test.go
@@ -50,6 +50,21 @@
 	is.True(r.Peak() <= 1<<20)
 }
 
+// Guards against short requests that are refused because of the long bodies of others.
+func TestLongReadsLeaveRoomForShortOnes(t *testing.T) {
+	is := is.New(t)
+	r := New(1 << 20)
+	for range 10 {
+		n := r.Begin()
+		defer n.Release()
+		_, _ = n.ReadAll(strings.NewReader(strings.Repeat("x", 500<<10)), -1)
+	}
+	n := r.Begin()
+	defer n.Release()
+	_, err := n.ReadAll(strings.NewReader(strings.Repeat("x", 20<<10)), -1)
+	is.NoErr(err)
+}
+
 func TestAnnouncedLengthAloneHoldsNoMemory(t *testing.T) {
 	is := is.New(t)
 	r := New(1 << 20)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -71,7 +71,9 @@
 	// bufferFraction is the fraction of the VM's memory that bodies and heads may take
 	// while they are buffered.
 	bufferFraction = 0.2
-	pruneInterval  = 500 * time.Millisecond
+	// minBufferMemory applies to a VM of less memory, which could buffer nothing else.
+	minBufferMemory = 4 << 20
+	pruneInterval   = 500 * time.Millisecond
 )
 
 // Gateway is one daemon of the fleet.
@@ -130,7 +132,7 @@
 	var memory *rationer.Rationer
 	if settings.Gateway.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * settings.Gateway.MemoryMiB * (1 << 20)))
-		memory = rationer.New(int64(bufferFraction * settings.Gateway.MemoryMiB * (1 << 20)))
+		memory = rationer.New(max(minBufferMemory, int64(bufferFraction*settings.Gateway.MemoryMiB*(1<<20))))
 	}
 	g = &Gateway{
 		drivers:          drivers,
