Proxier: an event without an id may end a resumed stream

Found by reading: a sound stream that ends with 'data: [DONE]' and no id would have been broken off after a resume, and so would one that begins with a byte order mark. Only the first event of a resumed response needs an id now. TestSoundBlocksAreRelayed.

Also by reading: among more than 256 cuts that nothing confirms so far the newest was forgotten, not the oldest, and a crash that is confirmed late could shorten a quarantine.

--- a/request/placer/report.go
+++ b/request/placer/report.go
@@ -111,9 +111,10 @@
 
 func (p *Pool) addUnanswered(cut unansweredCut) {
 	p.unanswered = slices.DeleteFunc(p.unanswered, func(u unansweredCut) bool { return cut.at.Sub(u.at) >= restartWindow })
-	if len(p.unanswered) < maxUnanswered {
-		p.unanswered = append(p.unanswered, cut)
+	if len(p.unanswered) >= maxUnanswered {
+		p.unanswered = slices.Delete(p.unanswered, 0, 1)
 	}
+	p.unanswered = append(p.unanswered, cut)
 }
 
 // confirmCrash holds the recent unanswered cuts of an engine against their requests, after
--- a/request/proxier/blockchecker.go
+++ b/request/proxier/blockchecker.go
@@ -9,7 +9,11 @@
 	"strings"
 )
 
-const eventStreamType = "text/event-stream"
+const (
+	eventStreamType = "text/event-stream"
+	// byteOrderMark may begin a stream.
+	byteOrderMark = "\ufeff"
+)
 
 // blockChecker checks the blocks of one engine's response before they reach the caller. A
 // faulty server may send bytes of something else, such as the text of an error, and one that
@@ -20,6 +24,9 @@
 	contentType string
 	// lastEventID is the id of the last event that the caller has received.
 	lastEventID string
+	// hasFollowed is set once an event has followed that one. A further one may lack an
+	// id, as the end of a stream does in some formats.
+	hasFollowed bool
 }
 
 func newBlockChecker(ss *streamState) *blockChecker {
@@ -57,7 +64,7 @@
 func (c *blockChecker) checkBlock(block []byte) error {
 	id, hasID, isComment := "", false, true
 	for line := range bytes.SplitSeq(block, []byte("\n")) {
-		name, value, _ := strings.Cut(strings.TrimSuffix(string(line), "\r"), ":")
+		name, value, _ := strings.Cut(strings.TrimPrefix(strings.TrimSuffix(string(line), "\r"), byteOrderMark), ":")
 		if !isFieldName(name) {
 			return fmt.Errorf("%w: the line %.40q", errNoEvent, line)
 		}
@@ -69,13 +76,14 @@
 	switch {
 	case isComment:
 		return nil
-	case c.isResumed && !hasID && c.lastEventID != "":
+	case c.isResumed && !hasID && c.lastEventID != "" && !c.hasFollowed:
 		return fmt.Errorf("%w: an event has no id", errCannotResume)
 	case c.isResumed && hasID && !follows(id, c.lastEventID):
 		return fmt.Errorf("%w: the event %.20q follows %.20q", errCannotResume, id, c.lastEventID)
 	}
 	if hasID {
 		c.lastEventID = id
+		c.hasFollowed = true
 	}
 	return nil
 }
@@ -84,7 +92,7 @@
 func isFieldName(name string) bool {
 	return !strings.ContainsFunc(name, func(r rune) bool {
 		isLetter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
-		return !isLetter && (r < '0' || r > '9') && r != '-' && r != '_'
+		return !isLetter && (r < '0' || r > '9') && !strings.ContainsRune("-_.", r)
 	})
 }
 
--- a/request/proxier/blockchecker_test.go
+++ b/request/proxier/blockchecker_test.go
@@ -65,6 +65,32 @@
 	}
 }
 
+// Guards against sound streams that are broken off: events may lack an id at their end, have
+// other fields, and begin with a byte order mark.
+func TestSoundBlocksAreRelayed(t *testing.T) {
+	tests := []struct {
+		name    string
+		checker blockChecker
+		blocks  string
+	}{
+		{"fields, comments and empty lines", blockChecker{}, "\ufeffretry: 10\n\n: comment / text\n\nevent: x\nid: 1\ndata: {\"a\": 1}\n\n\n\nid\ndata\n\n"},
+		{"other fields", blockChecker{}, "weight-versions: 3\nid: 1\ndata: x\n\nx.y_z: 1\n\n"},
+		{"carriage returns", blockChecker{}, "id: 1\r\ndata: x\r\n\n"},
+		{"end without an id", blockChecker{isResumed: true, lastEventID: "2"}, "id: 3\ndata: 3\n\ndata: [DONE]\n\n"},
+		{"ids that are no numbers", blockChecker{isResumed: true, lastEventID: "b"}, "id: a\ndata: 3\n\n"},
+		{"no ids at all", blockChecker{isResumed: true}, "data: 3\n\n"},
+		{"nothing", blockChecker{isResumed: true, lastEventID: "2"}, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			sound, err := test.checker.sound([]byte(test.blocks))
+			is.NoErr(err)
+			is.Equal(string(sound), test.blocks)
+		})
+	}
+}
+
 // Guards against MIXED: bytes that follow the events of a response without a length belong to
 // no stream, and a stream with them is not complete.
 func TestBytesThatAreNoEventBreakAStreamOff(t *testing.T) {
--- a/request/quarantiner/quarantiner.go
+++ b/request/quarantiner/quarantiner.go
@@ -251,12 +251,14 @@
 	return Decision{Change: change, Suspicion: e.suspicion(part), Engine: engine, Rounds: e.rounds, LastStart: q.lastStart(part)}
 }
 
-// add counts another crash and extends the quarantine.
-func (h *quarantine) add(now time.Time) {
+// add counts another crash and extends the quarantine. The crash may be an earlier one.
+func (h *quarantine) add(at time.Time) {
 	h.suspicion.Crashes++
 	h.suspicion.Requests++
-	h.suspicion.LastCrash = now
-	h.until = now.Add(quarantineTime(h.suspicion.Crashes))
+	if at.After(h.suspicion.LastCrash) {
+		h.suspicion.LastCrash = at
+	}
+	h.until = h.suspicion.LastCrash.Add(quarantineTime(h.suspicion.Crashes))
 }
 
 // quarantineTime returns the length of the quarantine after a number of crashes.
