--- /dev/null
+++ b/review/.standins2/budget.go
@@ -0,0 +1,3 @@
+package main
+
+func retryBudget(r *run) bool { return false }
--- /dev/null
+++ b/review/.standins2/clients.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// request is a request of a client.
+type request struct {
+	id, method, path, key string
+	deadline              time.Duration
+	header                map[string]string
+	body                  []byte
+	daemon                *daemon
+	sentAt                time.Time
+}
+
+// answer is what the client saw. The status is 0 if there was no complete answer.
+type answer struct {
+	status     int
+	signature  string
+	retryAfter string
+	bytes      int
+	err        error
+}
+
+const host = "ficu95.example"
+
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+var clientTransport = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second, DisableCompression: true}
+
+// send sends a request to a daemon and waits for the answer, for as long as the client does.
+func (r *run) send(req *request) (a answer) {
+	if req.id == "" {
+		req.id = newID()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), req.deadline)
+	defer cancel()
+	httpReq, err := http.NewRequestWithContext(ctx, req.method, "http://"+req.daemon.callers+req.path, bytes.NewReader(req.body))
+	if err != nil {
+		return answer{err: err}
+	}
+	httpReq.Host = host
+	httpReq.GetBody = nil
+	httpReq.Header.Set("Attempt-Id", req.id)
+	httpReq.Header.Set("Deadline-Ms", fmt.Sprint(req.deadline.Milliseconds()))
+	httpReq.Header.Set("Authorization", "Bearer "+req.key)
+	for name, value := range req.header {
+		httpReq.Header.Set(name, value)
+	}
+	req.sentAt = time.Now()
+	resp, err := clientTransport.RoundTrip(httpReq)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{err: err}
+	}
+	return answer{status: resp.StatusCode, signature: resp.Header.Get("Server-Signature"), retryAfter: resp.Header.Get("Retry-After"), bytes: len(body)}
+}
+
+// every calls f at a rate, each time in its own goroutine, until the end, and waits for all.
+func every(interval time.Duration, until time.Time, f func(n int)) {
+	var all sync.WaitGroup
+	next := time.Now()
+	for n := 0; time.Now().Before(until); n++ {
+		all.Go(func() { f(n) })
+		next = next.Add(interval)
+		time.Sleep(time.Until(next))
+	}
+	all.Wait()
+}
