--- a/review/.standins2/deadlypart.go
+++ b/review/.standins2/deadlypart.go
@@ -8,15 +8,20 @@
 	"time"
 )
 
-// The rule: more than three requests with a part that crashes servers reach servers, sent later
-// than stabilityWindowMs after the fifth crash.
+// The rules: from 2 x stabilityWindowMs after the fifth crash, sound requests of the route begin at
+// the first attempt less than half as often as outside disturbance; and more than three requests
+// with a part that crashes servers reach servers, sent later than stabilityWindowMs after the
+// fifth crash.
 const (
 	deadly            = "dead0001"
 	stabilityWindow   = 3 * time.Second
 	countedCrashes    = 5
 	allowedAfterCrash = 3
-	engineDownTime    = 2 * time.Second
-	deadlyPartSpan    = 80 * time.Second
+	engineDownTime    = 3 * time.Second
+	calmSpan          = 12 * time.Second
+	deadlyPartSpan    = 85 * time.Second
+	// minSound is the number of sound requests that the rule asks for.
+	minSound = 20
 )
 
 // deadlyPart sends requests with a part of a prompt that crashes each decode engine as it
@@ -71,15 +76,16 @@
 	}
 	r.awaitReady()
 	time.Sleep(4 * time.Second)
-	served := 0
-	every(500*time.Millisecond, time.Now().Add(deadlyPartSpan), func(n int) {
-		part, isDeadly := "5c1e07a2", n%2 == 1
+	var sound []soundRequest
+	firstDeadly := time.Now().Add(calmSpan)
+	every(500*time.Millisecond, time.Now().Add(calmSpan+deadlyPartSpan), func(n int) {
+		part, isDeadly := "5c1e07a2", n%2 == 1 && time.Now().After(firstDeadly)
 		if isDeadly {
 			part = deadly
 		}
 		req := &request{
 			id: newID(), method: http.MethodPost, path: "/sum/1", key: "key-1", deadline: 14 * time.Second, body: []byte("sheet"), daemon: r.daemons[n%len(r.daemons)],
-			header: map[string]string{"Model": "m", "Token-Usage": fmt.Sprintf("%d,80", 1000+n), "Prompt-Prefix": fmt.Sprintf("%s:200,%s:800", part, newID())},
+			header: map[string]string{"Model": "m", "Token-Usage": fmt.Sprintf("%d,80", 1000+n), "Prompt-Prefix": fmt.Sprintf("%s:200,%s:%d", part, newID(), 800+n)},
 		}
 		mu.Lock()
 		sentAt[req.id] = time.Now()
@@ -87,27 +93,61 @@
 		a := r.send(req)
 		mu.Lock()
 		defer mu.Unlock()
-		if a.status == http.StatusOK && !isDeadly {
-			served++
+		if !isDeadly {
+			sound = append(sound, soundRequest{sentAt: sentAt[req.id], hasBegun: a.status == http.StatusOK})
 		}
 		r.note("%s sent to %s, deadly part %t: status %d, Retry-After %q, error %v", req.id, req.daemon.name, isDeadly, a.status, a.retryAfter, a.err)
 	})
 	mu.Lock()
 	defer mu.Unlock()
+	var fifthOrLast time.Time
 	late := 0
+	if len(crashes) > 0 {
+		fifthOrLast = crashes[min(len(crashes), countedCrashes)-1]
+	}
 	if len(crashes) >= countedCrashes {
-		limit := crashes[countedCrashes-1].Add(stabilityWindow)
 		for id := range reached {
-			if sentAt[id].After(limit) {
+			if sentAt[id].After(fifthOrLast.Add(stabilityWindow)) {
 				late++
 			}
 		}
 	}
-	r.say("%d crashes; %d requests with the part reached servers that were sent later than %s after the fifth; %d sound requests were served", len(crashes), late, stabilityWindow, served)
-	if served == 0 {
+	calm := shareBegun(sound, func(at time.Time) bool { return at.Before(firstDeadly) })
+	troubled := shareBegun(sound, func(at time.Time) bool { return at.After(firstDeadly) })
+	if len(crashes) > 0 {
+		troubled = shareBegun(sound, func(at time.Time) bool { return at.After(fifthOrLast.Add(2 * stabilityWindow)) })
+	}
+	isLost := calm.count >= minSound && troubled.count >= minSound && 2*troubled.share() < calm.share()
+	r.say("%d crashes; %d requests with the part reached servers that were sent later than %s after the fifth; of the sound requests, %d of %d began before the first, and %d of %d later than %s after the fifth crash",
+		len(crashes), late, stabilityWindow, calm.begun, calm.count, troubled.begun, troubled.count, 2*stabilityWindow)
+	r.say("LOST broken: %t; BUDGET broken: %t", isLost, late > allowedAfterCrash)
+	if calm.begun == 0 {
 		r.fail("no request was served")
 	}
-	return late > allowedAfterCrash
+	return isLost || late > allowedAfterCrash
+}
+
+type soundRequest struct {
+	sentAt   time.Time
+	hasBegun bool
+}
+
+// begun counts requests, and those that began at the first attempt.
+type begun struct{ count, begun int }
+
+func (b begun) share() float64 { return float64(b.begun) / float64(max(1, b.count)) }
+
+func shareBegun(sound []soundRequest, counts func(at time.Time) bool) (b begun) {
+	for _, s := range sound {
+		if !counts(s.sentAt) {
+			continue
+		}
+		b.count++
+		if s.hasBegun {
+			b.begun++
+		}
+	}
+	return b
 }
 
 // crashIn crashes the boot that answers a request: it begins its answer, and breaks off. It
--- a/review/.standins2/retryafter.go
+++ b/review/.standins2/retryafter.go
@@ -17,8 +17,8 @@
 	serverRestartGap = 8 * time.Second
 	// firstHeartbeat is a quarter of the interval between heartbeats.
 	firstHeartbeat    = 300 * time.Millisecond
-	retryAfterServers = 3
-	restartRounds     = 2
+	retryAfterServers = 4
+	restartCount      = 6
 )
 
 // arrival is a request that reached a server.
@@ -44,8 +44,8 @@
 	var servers []*server
 	for i := range retryAfterServers {
 		s := &server{
-			run: r, store: st, name: []string{"i-a1", "i-b2", "i-c3"}[i], service: "app",
-			zone: []string{"bc-lower-a", "bc-lower-b", "bc-lower-c"}[i], slots: 6,
+			run: r, store: st, name: []string{"i-a1", "i-b2", "i-c3", "i-d4"}[i], service: "app",
+			zone: []string{"bc-lower-a", "bc-lower-b", "bc-lower-c", "bc-lower-a"}[i], slots: 6,
 		}
 		s.onArrival = func(*server, int, *http.Request) {}
 		s.handle = func(s *server, boot int, w http.ResponseWriter, req *http.Request) {
@@ -71,9 +71,9 @@
 	}
 	r.awaitReady()
 	time.Sleep(4 * time.Second)
-	end := time.Now().Add(serverRestartGap * retryAfterServers * restartRounds)
+	end := time.Now().Add(serverRestartGap * restartCount)
 	go func() {
-		for n := range restartRounds * retryAfterServers {
+		for n := range restartCount {
 			s := servers[n%retryAfterServers]
 			time.Sleep(time.Second)
 			if r.isTroubled {
