--- a/review/.standins2/main.go
+++ b/review/.standins2/main.go
@@ -26,8 +26,8 @@
 	"long-read":    longRead,
 	"retry-after":  retryAfter,
 	"deadly-part":  deadlyPart,
+	"deadly-later": deadlyLater,
 	"retry-budget": retryBudget,
-	"silent-store": silentStore,
 }
 
 // The exit codes of a case.
