--- a/review/.standins2/main.go
+++ b/review/.standins2/main.go
@@ -23,6 +23,7 @@
 }
 
 var cases = map[string]func(r *run) (isBroken bool){
+	"late-write":   lateWrite,
 	"long-read":    longRead,
 	"retry-after":  retryAfter,
 	"deadly-part":  deadlyPart,
--- a/review/.standins2/servers.go
+++ b/review/.standins2/servers.go
@@ -109,7 +109,24 @@
 }
 
 func (s *server) register() {
+	entry := s.entry()
+	s.store.put("keyed.servers", s.name, entry)
+}
+
+// registerLate writes a heartbeat that gets no answer. The store carries it out after a delay.
+func (s *server) registerLate(delay time.Duration) {
+	entry := s.entry()
+	s.run.note("%s: a heartbeat (ready, sequence %v) gets no answer", s.name, entry["sequence"])
+	time.AfterFunc(delay, func() {
+		s.store.put("keyed.servers", s.name, entry)
+		s.run.note("%s: that heartbeat is carried out", s.name)
+	})
+}
+
+// entry returns the next heartbeat.
+func (s *server) entry() map[string]any {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.sequence++
 	entry := map[string]any{
 		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": s.slots, "state": s.state,
@@ -119,8 +136,7 @@
 		entry["stage"] = s.stage
 		entry["models"] = []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
 	}
-	s.mu.Unlock()
-	s.store.put("keyed.servers", s.name, entry)
+	return entry
 }
 
 func (s *server) serve(boot int, w http.ResponseWriter, req *http.Request) {
