--- a/review/.standins2/daemons.go
+++ b/review/.standins2/daemons.go
@@ -26,14 +26,30 @@
 // each other's ports.
 var loopback = fmt.Sprintf("127.%d.%d.%d", 64+rand.IntN(128), 1+rand.IntN(250), 1+rand.IntN(250))
 
-// freeAddress returns a loopback address that nobody listens on.
+var (
+	drawnMu sync.Mutex
+	drawn   = make(map[int]bool)
+)
+
+// freeAddress returns a loopback address that nobody listens on. It draws no port twice, and
+// none from the kernel's range for outgoing channels.
 func freeAddress() string {
-	l, err := net.Listen("tcp", loopback+":0")
-	if err != nil {
-		panic(err)
+	drawnMu.Lock()
+	defer drawnMu.Unlock()
+	for {
+		port := 11_000 + rand.IntN(20_000)
+		address := fmt.Sprintf("%s:%d", loopback, port)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		if drawn[port] {
+			continue
+		}
+		drawn[port] = true
+		return address
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // startDaemon writes the settings of a daemon, as deploy/settings.jsonc renders them with
--- a/review/.standins2/main.go
+++ b/review/.standins2/main.go
@@ -5,8 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -57,6 +59,7 @@
 	}
 	binary, _ := filepath.Abs(os.Args[2])
 	r := &run{dir: dir, binary: binary, isTroubled: os.Getenv("TROUBLE") != "0", startedAt: time.Now(), record: record}
+	go r.guard()
 	isBroken := cases[os.Args[1]](r)
 	if isBroken {
 		r.say("BROKEN")
@@ -66,6 +69,21 @@
 	r.end(exitHeld)
 }
 
+// maxTime is the longest time that a case may take.
+const maxTime = 119 * time.Second
+
+// guard ends the run, with all that it started, on a signal and after maxTime.
+func (r *run) guard() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case s := <-signals:
+		r.fail("%s", s)
+	case <-time.After(maxTime):
+		r.fail("it took too long")
+	}
+}
+
 // note writes a line to the record.
 func (r *run) note(format string, args ...any) {
 	r.mu.Lock()
--- a/review/.standins2/store.go
+++ b/review/.standins2/store.go
@@ -28,7 +28,7 @@
 }
 
 func startStore() (*store, error) {
-	l, err := net.Listen("tcp", loopback+":0")
+	l, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		return nil, err
 	}
