--- a/review/.standins2/config.go
+++ b/review/.standins2/config.go
@@ -25,9 +25,14 @@
 // publish writes a configuration as the operator does. The store has acknowledged it when
 // publish returns.
 func (s *store) publish(version int, routes []any, keys ...string) {
+	s.publishLimited(version, routes, 0, 0, keys...)
+}
+
+// publishLimited is like publish, with a limit of the tenant in tokens.
+func (s *store) publishLimited(version int, routes []any, rate, burst int, keys ...string) {
 	s.put("keyed.op", "config", map[string]any{
 		"version": version, "routes": routes, "services": []any{plainService, modelService},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "huka270", "keys": keys, "priority": 1, "unit": "token_accounting", "uncachedTokens": 200, "ratePerS": 0, "burst": 0}},
+		"tenants": []any{map[string]any{"name": "huka270", "keys": keys, "priority": 1, "unit": "token_accounting", "uncachedTokens": 200, "ratePerS": rate, "burst": burst}},
 	})
 }
--- a/review/.standins2/main.go
+++ b/review/.standins2/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(r *run) (isBroken bool){
 	"late-write":   lateWrite,
 	"long-read":    longRead,
+	"quota":        quota,
 	"retry-after":  retryAfter,
 	"deadly-part":  deadlyPart,
 	"deadly-later": deadlyLater,
--- a/review/.standins2/servers.go
+++ b/review/.standins2/servers.go
@@ -90,12 +90,17 @@
 
 // leave ends a server that has drained.
 func (s *server) leave() {
-	s.crash()
+	s.end("leaves")
 	s.store.put("keyed.servers", s.name, nil)
 }
 
 // crash ends the boot without notice. Nothing listens at the address until the next start.
 func (s *server) crash() {
+	s.end("crashes")
+}
+
+// end ends the boot. What the server does is written to the record.
+func (s *server) end(what string) {
 	s.mu.Lock()
 	server, stop := s.http, s.stop
 	s.http = nil
@@ -105,7 +110,7 @@
 	}
 	close(stop)
 	_ = server.Close()
-	s.run.note("%s crashes", s.name)
+	s.run.note("%s %s", s.name, what)
 }
 
 func (s *server) register() {
