--- a/review/.standins2/main.go
+++ b/review/.standins2/main.go
@@ -25,13 +25,14 @@
 }
 
 var cases = map[string]func(r *run) (isBroken bool){
-	"late-write":   lateWrite,
-	"long-read":    longRead,
-	"quota":        quota,
-	"retry-after":  retryAfter,
-	"deadly-part":  deadlyPart,
-	"deadly-later": deadlyLater,
-	"retry-budget": retryBudget,
+	"late-write":     lateWrite,
+	"long-read":      longRead,
+	"quota":          quota,
+	"retry-after":    retryAfter,
+	"deadly-part":    deadlyPart,
+	"deadly-control": deadlyControl,
+	"deadly-later":   deadlyLater,
+	"retry-budget":   retryBudget,
 }
 
 // The exit codes of a case.
