--- a/review/.standins2/longread.go
+++ b/review/.standins2/longread.go
@@ -23,8 +23,8 @@
 	slowBefore     = 600 * time.Millisecond
 	prefillEngines = 6
 	decodeEngines  = 2
-	drainGap       = 12 * time.Second
-	drainRuns      = 6
+	drainGap       = 10 * time.Second
+	drainRuns      = 10
 )
 
 // longRead drains a decode engine while a slow prefill engine reads prompts for it.
