Log: the era, the ends of the topics and where a daemon reads are visible

A refused epoch was logged as "newer records" whether the topic ended higher or lower than expected, and nothing showed where a reader stands.

Responses of the store state an era, which is now logged when it rises or is no valid one, and counted; a refused append names the end of the topic; a topic that is read anew, a version that is older than the one in force, and a deferred removal are logged; /v1/status shows for each topic where the last read began, where the next one begins, and the end that the log stated.

--- a/process/gateway/drivers.go
+++ b/process/gateway/drivers.go
@@ -30,6 +30,8 @@
 	// read. ReachedEnd reports that no further record followed then.
 	NextOffset identifier.Offset
 	ReachedEnd bool
+	// EndOffset is the offset after the newest record.
+	EndOffset identifier.Offset
 	// RecordCount is the number of records that were read.
 	RecordCount int
 	// Truncated reports that the platform deleted records before they were read.
@@ -56,6 +58,8 @@
 	// read. ReachedEnd reports that no further record followed then.
 	NextOffset identifier.Offset
 	ReachedEnd bool
+	// EndOffset is the offset after the newest record.
+	EndOffset identifier.Offset
 	// Truncated reports that the platform deleted records before they were read.
 	Truncated bool
 }
@@ -68,8 +72,21 @@
 	Region identifier.RegionName
 }
 
+// EraWatcher holds the functions that are called with what the responses of the platform's
+// log say about its era. They must not block.
+type EraWatcher struct {
+	// OnChange is called when a response states a higher era than all before.
+	OnChange func(before, now identifier.Era)
+	// OnInvalid is called for a response whose era is missing, no number or lower than the
+	// known one.
+	OnInvalid func(stated string, known identifier.Era)
+}
+
 // Drivers are the functions that access the platform and implement its protocols.
 type Drivers struct {
+	// WatchEra sets the functions that are called with the era of the log. It is nil if
+	// the log has none.
+	WatchEra func(watcher EraWatcher)
 	// ReadVMs returns the list of VMs. RegisterVM puts a VM on it or updates its
 	// entry, and DeregisterVM removes a VM from it.
 	ReadVMs      func(ctx context.Context) ([]appender.VM, error)
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -71,11 +71,20 @@
 			defer func() { g.Meter.ObserveDuration(meter.TimingAppend, g.Clock.Since(startedAt)) }()
 			return g.drivers.AppendEpoch(ctx, data, g.EpochTracker.NextOffset())
 		},
-		Read:    g.drivers.ReadEpochs,
+		Read:    g.readEpochs,
 		ReadVMs: g.readVMs,
 	}
 }
 
+// readEpochs reads the epochs and records where this daemon stands.
+func (g *Gateway) readEpochs(ctx context.Context, stream identifier.StreamName, from identifier.Offset, limit int, wait time.Duration) (appender.Batch, error) {
+	batch, err := g.drivers.ReadEpochs(ctx, stream, from, limit, wait)
+	if err == nil {
+		g.recordRead(topicEpochs, LogRead{From: from, Next: from + identifier.Offset(len(batch.Records)), End: batch.NextOffset}, batch.OldestOffset > from)
+	}
+	return batch, err
+}
+
 // waitUntilReadDue waits until this daemon has to read the log: because it is one of the
 // hubs that read for the others, or because what the hubs relay is too old.
 func (g *Gateway) waitUntilReadDue(ctx context.Context) {
@@ -115,6 +124,7 @@
 		if g.isStoreDown.Swap(false) {
 			log.Info("The store is back.", "version", g.Follower.Version().Number)
 		}
+		g.recordRead(topicVersions, LogRead{From: next, Next: batch.NextOffset, End: batch.EndOffset}, batch.Truncated)
 		isStuck := !batch.ReachedEnd && batch.NextOffset == next
 		next = batch.NextOffset
 		if batch.Truncated {
@@ -133,7 +143,7 @@
 		g.applyEvacuations(batch, isSnapshot, requestedAt)
 		wait = waitAfter(batch)
 		for _, version := range batch.Versions {
-			g.Follower.Install(version)
+			g.installVersion(log, version)
 		}
 		if batch.ReachedEnd {
 			g.Confirmer.RecordLogRead(appender.StreamConfig, requestedAt)
@@ -145,6 +155,15 @@
 	return ctx.Err()
 }
 
+// installVersion puts a version that was read in force, unless it is older.
+func (g *Gateway) installVersion(log *slog.Logger, version *reducer.Version) {
+	inForce := g.Follower.Version().Number
+	if version.Number < inForce {
+		log.Info("A version that was read is older than the one in force.", "version", version.Number, "in-force", inForce)
+	}
+	g.Follower.Install(version)
+}
+
 // applyVersion makes a new version the one in force.
 func (g *Gateway) applyVersion(version *reducer.Version) {
 	g.router.Store(router.New(version.Routes))
@@ -202,6 +221,7 @@
 			continue
 		}
 		retries = backoff{}
+		g.recordRead(topicUpstreams, LogRead{From: next, Next: batch.NextOffset, End: batch.EndOffset}, batch.Truncated)
 		isFullRead := next == identifier.NoOffset
 		hasProgressed := batch.NextOffset > next
 		next = batch.NextOffset
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -132,6 +132,7 @@
 	// upstreamsChanged wakes distributeUpstreams.
 	upstreamsChanged chan struct{}
 	lists            *listExchange
+	logReads         *logReads
 }
 
 // listeners holds the daemon's open listeners.
@@ -165,6 +166,7 @@
 		upstreamsChanged: make(chan struct{}, 1),
 		vmList:           newVMListTracker(),
 		lists:            newListExchange(clock),
+		logReads:         newLogReads(),
 	}
 	g.settings.Store(&settings)
 	g.router.Store(router.New(nil))
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -251,6 +251,8 @@
 	Traffic   []meter.Traffic                            `json:"traffic"`
 	// Admission holds the plain services whose requests this daemon admits.
 	Admission map[identifier.ServiceName]admitter.Status `json:"admission,omitempty"`
+	// Log shows where this daemon stands in the log.
+	Log LogStatus `json:"log"`
 	// Evacuations shows the evacuated zones, and how old that knowledge is.
 	Evacuations evacuator.Status `json:"evacuations"`
 	// Cold lists the cold upstreams, and how long they still are.
@@ -277,6 +279,7 @@
 		Traffic:   g.Meter.Traffic(),
 
 		Connections: g.screener.Status(),
+		Log:         g.logReads.status(g.Clock.Now()),
 		Evacuations: g.evacuator.Status(),
 		Cold:        g.coldstarter.Statuses(g.registrar.All()),
 		Zones:       g.zoneStatus(),
--- a/process/gateway/wire.go
+++ b/process/gateway/wire.go
@@ -45,6 +45,7 @@
 // wire builds the components and connects them. It returns the functions that
 // close them.
 func (g *Gateway) wire(deps fleet.Dependencies) (closers []func()) {
+	g.watchEra(deps)
 	f, closeFleet := fleet.New(g.identity(), g.fleetDrivers(), deps)
 	g.Fleet = f
 	f.WholeLimits = true
@@ -72,6 +73,9 @@
 	g.registrar.OnLate = func(entry registrar.Entry, hold time.Duration) {
 		logger.For(deps.Log, logger.Upstream).Info("A record of an upstream was carried out late.", "upstream", entry.Name, "state", entry.State, "offset", entry.Offset, "withheld-for-ms", hold.Milliseconds())
 	}
+	g.registrar.OnDefer = func(name identifier.UpstreamName, hold time.Duration) {
+		logger.For(deps.Log, logger.Upstream).Info("The removal of an upstream is deferred, as the store was out of reach.", "upstream", name, "for-ms", hold.Milliseconds())
+	}
 	g.wireAbstainer(deps)
 	g.wireEvacuator(deps)
 	g.wireColdstarter(deps)
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -140,6 +140,12 @@
 	// many were being sent, and EventListRequested those requested from a peer.
 	EventRelayWithheld Event = "relays-withheld"
 	EventListRequested Event = "lists-requested"
+	// EventLogEra counts the times that the log came back from an older copy,
+	// EventInvalidEra its responses that state no valid era, and EventReadAnew the reads
+	// of a topic that began anew because records were missing.
+	EventLogEra     Event = "log-eras"
+	EventInvalidEra Event = "invalid-log-eras"
+	EventReadAnew   Event = "topics-read-anew"
 )
 
 const (
@@ -162,7 +168,7 @@
 	EventPartSuspected, EventQuarantine, EventQuarantineReleased,
 	EventEvacuation, EventEvacuationEnd, EventEvacuatedSend, EventColdSkip,
 	EventAccountTakeover, EventAccountUnknown, EventAccountUnconfirmed,
-	EventRelayWithheld, EventListRequested,
+	EventRelayWithheld, EventListRequested, EventLogEra, EventInvalidEra, EventReadAnew,
 }
 
 // WasteCause is why prompt tokens were read in vain.
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -41,6 +41,9 @@
 	// OnLate is called with a record that was carried out late, and how long it is withheld.
 	// The registrar's lock is held during the call.
 	OnLate func(entry Entry, hold time.Duration)
+	// OnDefer is called with an upstream whose removal is deferred, and for how long. The
+	// registrar's lock is held during the call.
+	OnDefer func(name identifier.UpstreamName, hold time.Duration)
 
 	clock clockwork.Clock
 
@@ -110,6 +113,7 @@
 	return &Registrar{
 		OnChange:         func() {},
 		OnLate:           func(Entry, time.Duration) {},
+		OnDefer:          func(identifier.UpstreamName, time.Duration) {},
 		clock:            clock,
 		entries:          make(map[identifier.UpstreamName]Entry),
 		namesAt:          make(map[identifier.Address][]identifier.UpstreamName),
@@ -357,6 +361,7 @@
 		_, isDeferred := r.deferredRemovals[name]
 		if !isDeferred {
 			r.deferredRemovals[name] = deferredRemoval{offset: offset, until: r.recoveredAt.Add(recoveryGrace)}
+			r.OnDefer(name, recoveryGrace-sinceRecovery)
 		}
 		return
 	}
