--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -132,7 +132,7 @@
 	// upstreamsChanged wakes distributeUpstreams.
 	upstreamsChanged chan struct{}
 	lists            *listExchange
-	logReads         *logReads
+	logReads         logReads
 }
 
 // listeners holds the daemon's open listeners.
@@ -166,7 +166,6 @@
 		upstreamsChanged: make(chan struct{}, 1),
 		vmList:           newVMListTracker(),
 		lists:            newListExchange(clock),
-		logReads:         newLogReads(),
 	}
 	g.settings.Store(&settings)
 	g.router.Store(router.New(nil))
--- a/process/gateway/logreads.go
+++ b/process/gateway/logreads.go
@@ -44,10 +44,6 @@
 	reads map[topic]LogRead
 }
 
-func newLogReads() *logReads {
-	return &logReads{reads: make(map[topic]LogRead)}
-}
-
 func (l *logReads) setEra(era identifier.Era) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -57,6 +53,9 @@
 func (l *logReads) record(name topic, read LogRead) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.reads == nil {
+		l.reads = make(map[topic]LogRead)
+	}
 	l.reads[name] = read
 }
 
