--- a/connection/messenger/client.go
+++ b/connection/messenger/client.go
@@ -160,7 +160,7 @@
 		return response, err
 	}
 	return limiter.BorrowResponse{
-		Epoch:          identifier.Offset(resp.Msg.GetEpoch()),
+		Epoch:          identifier.Position(resp.Msg.GetEpoch()),
 		Share:          identifier.PartsPerMillion(resp.Msg.GetParts()),
 		Tokens:         resp.Msg.GetTokens(),
 		RemainingShare: identifier.PartsPerMillion(resp.Msg.GetLeftParts()),
--- a/connection/messenger/codec.go
+++ b/connection/messenger/codec.go
@@ -58,7 +58,7 @@
 		State:       heartbeater.State(msg.GetState()),
 		Drained:     msg.GetDrained(),
 		Version:     identifier.Offset(msg.GetVersion()),
-		Epoch:       identifier.Offset(msg.GetEpoch()),
+		Epoch:       identifier.Position(msg.GetEpoch()),
 		LogAge:      decodeAge(msg.GetLogAgeMs()),
 		Heard:       fromStrings[identifier.Incarnation](msg.GetHeard()),
 		Resumed:     fromStrings[identifier.AttemptID](msg.GetResumed()),
@@ -113,7 +113,7 @@
 func decodeBorrow(msg *peerv1.BorrowRequest) limiter.BorrowRequest {
 	return limiter.BorrowRequest{
 		Borrower:   identifier.Incarnation(msg.GetIncarnation()),
-		Epoch:      identifier.Offset(msg.GetEpoch()),
+		Epoch:      identifier.Position(msg.GetEpoch()),
 		Workspace:  identifier.WorkspaceName(msg.GetWorkspace()),
 		Sequence:   msg.GetSequence(),
 		WantTokens: identifier.Tokens(msg.GetWantTokens()),
--- a/connection/messenger/evacuations.go
+++ b/connection/messenger/evacuations.go
@@ -13,10 +13,10 @@
 		return
 	}
 	msg.HasEvacuations = true
-	msg.EvacuationsOffset = int64(relay.NextOffset)
+	msg.EvacuationsOffset = int64(relay.NextPosition)
 	msg.EvacuationsAgeMs = encodeAge(relay.Age)
 	for _, evacuation := range relay.Evacuations {
-		msg.Evacuations = append(msg.Evacuations, &peerv1.Evacuation{Zone: string(evacuation.Zone), Offset: int64(evacuation.Offset)})
+		msg.Evacuations = append(msg.Evacuations, &peerv1.Evacuation{Zone: string(evacuation.Zone), Offset: int64(evacuation.Position)})
 	}
 }
 
@@ -24,9 +24,9 @@
 	if !msg.GetHasEvacuations() {
 		return nil
 	}
-	relay := &evacuator.Relay{NextOffset: identifier.Offset(msg.GetEvacuationsOffset()), Age: decodeAge(msg.GetEvacuationsAgeMs())}
+	relay := &evacuator.Relay{NextPosition: identifier.Position(msg.GetEvacuationsOffset()), Age: decodeAge(msg.GetEvacuationsAgeMs())}
 	for _, evacuation := range msg.GetEvacuations() {
-		relay.Evacuations = append(relay.Evacuations, evacuator.Evacuation{Zone: identifier.ZoneName(evacuation.GetZone()), Offset: identifier.Offset(evacuation.GetOffset())})
+		relay.Evacuations = append(relay.Evacuations, evacuator.Evacuation{Zone: identifier.ZoneName(evacuation.GetZone()), Position: identifier.Position(evacuation.GetOffset())})
 	}
 	return relay
 }
--- a/connection/messenger/fuzz_test.go
+++ b/connection/messenger/fuzz_test.go
@@ -22,8 +22,8 @@
 		Departures: []abstainer.Departure{{Upstream: "s", StartedAt: time.UnixMilli(1), Age: time.Second}},
 		Relay: &heartbeater.Relay{
 			Roster:      &heartbeater.RosterUpdate{Revision: 8, Base: 7, Members: []heartbeater.Heartbeat{{Incarnation: "m"}}},
-			Upstreams:   &registrar.Update{NextOffset: 4, Entries: []registrar.Entry{{Name: "u", Slots: 6, ColdLeft: time.Second}}},
-			Evacuations: &evacuator.Relay{NextOffset: 9, Evacuations: []evacuator.Evacuation{{Zone: "z", Offset: 8}}},
+			Upstreams:   &registrar.Update{NextPosition: 4, Entries: []registrar.Entry{{Name: "u", Slots: 6, ColdLeft: time.Second}}},
+			Evacuations: &evacuator.Relay{NextPosition: 9, Evacuations: []evacuator.Evacuation{{Zone: "z", Position: 8}}},
 		},
 	}
 	raw, err := proto.Marshal(encodeHeartbeat(heartbeat))
--- a/connection/messenger/relays.go
+++ b/connection/messenger/relays.go
@@ -32,21 +32,21 @@
 	return heartbeater.Marks{
 		RosterOf:  identifier.Incarnation(msg.GetRosterOf()),
 		Roster:    max(msg.GetRoster(), -msg.GetRoster()),
-		Upstreams: identifier.Offset(msg.GetUpstreams()),
+		Upstreams: identifier.Position(msg.GetUpstreams()),
 
 		AcceptsRosterChanges: msg.GetRosterChanges(),
-		Evacuations:          identifier.Offset(msg.GetEvacuations()),
+		Evacuations:          identifier.Position(msg.GetEvacuations()),
 		WantsLeavingOnly:     msg.GetRoster() < 0,
 	}
 }
 
 // encodeRelay converts a relay. Without an update of the upstreams, the message has
-// identifier.NoOffset as UpstreamsOffset.
+// identifier.NoPosition as UpstreamsOffset.
 func encodeRelay(relay *heartbeater.Relay) *peerv1.Relay {
 	if relay == nil {
 		return nil
 	}
-	msg := &peerv1.Relay{UpstreamsOffset: int64(identifier.NoOffset), ZoneLoads: encodeZoneLoads(relay.ZoneLoads)}
+	msg := &peerv1.Relay{UpstreamsOffset: int64(identifier.NoPosition), ZoneLoads: encodeZoneLoads(relay.ZoneLoads)}
 	if relay.Roster != nil {
 		msg.HasRoster = true
 		msg.Roster = relay.Roster.Revision
@@ -61,7 +61,7 @@
 	if update == nil {
 		return msg
 	}
-	msg.UpstreamsOffset = int64(update.NextOffset)
+	msg.UpstreamsOffset = int64(update.NextPosition)
 	msg.UpstreamsAgeMs = encodeAge(update.Age)
 	msg.UpstreamsWhole = update.IsSnapshot
 	for _, entry := range update.Entries {
@@ -74,12 +74,12 @@
 			Role:       string(entry.Role),
 			Slots:      int64(entry.Slots),
 			BornUnixMs: entry.StartedAt.UnixMilli(),
-			Offset:     int64(entry.Offset),
+			Offset:     int64(entry.Position),
 			ColdMs:     entry.ColdLeft.Milliseconds(),
 		})
 	}
 	for _, removal := range update.Removed {
-		msg.Gone = append(msg.Gone, &peerv1.GoneUpstream{Name: string(removal.Name), Offset: int64(removal.Offset)})
+		msg.Gone = append(msg.Gone, &peerv1.GoneUpstream{Name: string(removal.Name), Offset: int64(removal.Position)})
 	}
 	return msg
 }
@@ -100,16 +100,16 @@
 		}
 	}
 	relay.Evacuations = decodeEvacuations(msg)
-	nextOffset := identifier.Offset(msg.GetUpstreamsOffset())
-	if nextOffset == identifier.NoOffset {
+	nextPosition := identifier.Position(msg.GetUpstreamsOffset())
+	if nextPosition == identifier.NoPosition {
 		return relay
 	}
-	update := &registrar.Update{NextOffset: nextOffset, Age: decodeAge(msg.GetUpstreamsAgeMs()), IsSnapshot: msg.GetUpstreamsWhole()}
+	update := &registrar.Update{NextPosition: nextPosition, Age: decodeAge(msg.GetUpstreamsAgeMs()), IsSnapshot: msg.GetUpstreamsWhole()}
 	for _, entry := range msg.GetUpstreams() {
 		update.Entries = append(update.Entries, decodeUpstream(entry))
 	}
 	for _, removal := range msg.GetGone() {
-		update.Removed = append(update.Removed, registrar.Removal{Name: identifier.UpstreamName(removal.GetName()), Offset: identifier.Offset(removal.GetOffset())})
+		update.Removed = append(update.Removed, registrar.Removal{Name: identifier.UpstreamName(removal.GetName()), Position: identifier.Position(removal.GetOffset())})
 	}
 	relay.Upstreams = update
 	return relay
@@ -147,7 +147,7 @@
 		Role:      parser.Role(msg.GetRole()),
 		Slots:     int(msg.GetSlots()),
 		StartedAt: time.UnixMilli(msg.GetBornUnixMs()),
-		Offset:    identifier.Offset(msg.GetOffset()),
+		Position:  identifier.Position(msg.GetOffset()),
 		ColdLeft:  time.Duration(min(max(msg.GetColdMs(), 0), maxColdMs)) * time.Millisecond,
 	}
 }
--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -53,9 +53,6 @@
 	// Offset is the position of a record in a stream of the log. The first record
 	// has offset 0.
 	Offset int64
-	// Era counts how often a log came back from an older copy of itself, and so lost
-	// records that it had acknowledged. It is zero for a log that states none.
-	Era int64
 	// Tokens is a number of model tokens, of prompts, outputs or both.
 	Tokens int64
 	// PartsPerMillion is a share of a workspace's rate and burst, in parts per
--- a/process/borrower/borrower.go
+++ b/process/borrower/borrower.go
@@ -42,7 +42,7 @@
 // lender responds or the epoch ends.
 type requestState struct {
 	sequence int64
-	epoch    identifier.Offset
+	epoch    identifier.Position
 	pending  *limiter.BorrowRequest
 	inFlight bool
 	// lenderShare is the lender's share after its last response, if isShareKnown.
--- a/process/borrower/simulation_test.go
+++ b/process/borrower/simulation_test.go
@@ -226,8 +226,8 @@
 		respond = func(deliver func()) { s.after(isolatedReadDelay, deliver) }
 	}
 	respond(func() {
-		for offset := n.epochTracker.NextOffset(); int(offset) < len(records); offset++ {
-			_ = n.epochTracker.Handle(offset, records[offset])
+		for offset := n.epochTracker.NextPosition(); int(offset) < len(records); offset++ {
+			_ = n.epochTracker.Handle(epochtracker.Record{Position: offset, Data: records[offset]})
 		}
 		if sentAt.After(n.logReadAt) {
 			n.logReadAt = sentAt
--- a/process/confirmer/confirmer.go
+++ b/process/confirmer/confirmer.go
@@ -38,15 +38,15 @@
 	ConfirmationAge time.Duration
 	// Version and Epoch are the log offsets of the peer's version and epoch.
 	Version identifier.Offset
-	Epoch   identifier.Offset
+	Epoch   identifier.Position
 }
 
 // Confirmer tracks when the daemon's version and epoch were last confirmed.
 type Confirmer struct {
 	clock clockwork.Clock
 	self  identifier.Incarnation
-	// KnownOffsets returns the log offsets of the daemon's version and epoch.
-	KnownOffsets func() (version, epoch identifier.Offset)
+	// Known returns the log offsets of the daemon's version and epoch.
+	Known func() (version identifier.Offset, epoch identifier.Position)
 	// Members returns the members of the daemon's epoch.
 	Members func() []identifier.Incarnation
 
@@ -58,12 +58,12 @@
 // New returns a confirmer that requires reads of all the given streams.
 func New(clock clockwork.Clock, self identifier.Incarnation, streams ...identifier.StreamName) *Confirmer {
 	c := &Confirmer{
-		clock:        clock,
-		self:         self,
-		KnownOffsets: func() (identifier.Offset, identifier.Offset) { return identifier.NoOffset, identifier.NoOffset },
-		Members:      func() []identifier.Incarnation { return nil },
-		lastReads:    make(map[identifier.StreamName]time.Time),
-		reports:      make(map[identifier.Incarnation]PeerReport),
+		clock:     clock,
+		self:      self,
+		Known:     func() (identifier.Offset, identifier.Position) { return identifier.NoOffset, identifier.NoPosition },
+		Members:   func() []identifier.Incarnation { return nil },
+		lastReads: make(map[identifier.StreamName]time.Time),
+		reports:   make(map[identifier.Incarnation]PeerReport),
 	}
 	for _, stream := range streams {
 		c.lastReads[stream] = time.Time{}
@@ -116,7 +116,7 @@
 
 func (c *Confirmer) confirmationAge(now time.Time) time.Duration {
 	confirmedAt := c.oldestRead()
-	version, epoch := c.KnownOffsets()
+	version, epoch := c.Known()
 	for _, report := range c.reports {
 		if report.ConfirmationAge == Never || report.Version > version || report.Epoch > epoch {
 			continue
@@ -149,7 +149,7 @@
 // isOutageAgreedByMajority reports whether a majority of the members, this daemon
 // included, hear each other and none of them can read the log.
 func (c *Confirmer) isOutageAgreedByMajority(now time.Time) bool {
-	version, epoch := c.KnownOffsets()
+	version, epoch := c.Known()
 	members := c.Members()
 	agreeing := 0
 	for _, member := range members {
--- a/process/confirmer/confirmer_test.go
+++ b/process/confirmer/confirmer_test.go
@@ -14,7 +14,7 @@
 
 func newConfirmer(clock clockwork.Clock) *Confirmer {
 	c := New(clock, "self", stream)
-	c.KnownOffsets = func() (identifier.Offset, identifier.Offset) { return 5, 2 }
+	c.Known = func() (identifier.Offset, identifier.Position) { return 5, 2 }
 	c.Members = func() []identifier.Incarnation { return []identifier.Incarnation{"self", "b", "c"} }
 	return c
 }
--- a/process/evacuator/evacuator.go
+++ b/process/evacuator/evacuator.go
@@ -25,10 +25,10 @@
 	Never = time.Duration(-1)
 )
 
-// Evacuation is one evacuated zone, with the offset of the record that evacuated it.
+// Evacuation is one evacuated zone, with the position of the record that evacuated it.
 type Evacuation struct {
-	Zone   identifier.ZoneName `json:"zone"`
-	Offset identifier.Offset   `json:"offset"`
+	Zone     identifier.ZoneName `json:"zone"`
+	Position identifier.Position `json:"offset"`
 }
 
 // Change is one record of the store about a zone.
@@ -41,10 +41,10 @@
 // Read is the result of reading records from the store.
 type Read struct {
 	Changes []Change
-	// NextOffset is the offset after the last record that was read.
-	NextOffset identifier.Offset
+	// NextPosition is the position after the last record that was read.
+	NextPosition identifier.Position
 	// IsSnapshot says that Changes holds the newest record of each zone. Otherwise
-	// it holds the records from the NextOffset of the previous read on.
+	// it holds the records from the NextPosition of the previous read on.
 	IsSnapshot bool
 	// ReachedEnd says that no further record followed at AsOf.
 	ReachedEnd bool
@@ -53,8 +53,8 @@
 
 // Relay is the set as another daemon knows it.
 type Relay struct {
-	// NextOffset is the offset up to which the store was read.
-	NextOffset identifier.Offset
+	// NextPosition is the position up to which the store was read.
+	NextPosition identifier.Position
 	// Age is the time, as of the sending, since the sender knew that no record followed.
 	Age time.Duration
 	// Delay is the longest time that the relay may have been on its way.
@@ -76,10 +76,10 @@
 	clock clockwork.Clock
 
 	mu sync.Mutex
-	// zones maps the evacuated zones to the offsets of their records.
-	zones map[identifier.ZoneName]identifier.Offset
-	// nextOffset is the offset up to which the set is known, or NoOffset.
-	nextOffset identifier.Offset
+	// zones maps the evacuated zones to the positions of their records.
+	zones map[identifier.ZoneName]identifier.Position
+	// nextPosition is the position up to which the set is known, or NoPosition.
+	nextPosition identifier.Position
 	// asOf is when the set was last known to be complete.
 	asOf time.Time
 	// relayedAt is when the newest relay was sent at the earliest.
@@ -93,8 +93,8 @@
 		HasSources:   func() bool { return false },
 		MaxCutOffAge: func() time.Duration { return 0 },
 		clock:        clock,
-		zones:        make(map[identifier.ZoneName]identifier.Offset),
-		nextOffset:   identifier.NoOffset,
+		zones:        make(map[identifier.ZoneName]identifier.Position),
+		nextPosition: identifier.NoPosition,
 	}
 }
 
@@ -117,25 +117,25 @@
 // covers are ignored.
 func (e *Evacuator) ApplyRead(read Read) {
 	e.mu.Lock()
-	zones := make(map[identifier.ZoneName]identifier.Offset)
+	zones := make(map[identifier.ZoneName]identifier.Position)
 	if !read.IsSnapshot {
 		zones = maps.Clone(e.zones)
 	}
 	for _, change := range read.Changes {
 		switch {
-		case !read.IsSnapshot && change.Offset < e.nextOffset:
+		case !read.IsSnapshot && change.Position < e.nextPosition:
 		case change.IsRevoked:
 			delete(zones, change.Zone)
 		default:
-			zones[change.Zone] = change.Offset
+			zones[change.Zone] = change.Position
 		}
 	}
-	isKnown := e.nextOffset != identifier.NoOffset
-	if read.NextOffset < e.nextOffset || (!read.IsSnapshot && !isKnown) {
+	isKnown := e.nextPosition != identifier.NoPosition
+	if read.NextPosition < e.nextPosition || (!read.IsSnapshot && !isKnown) {
 		e.mu.Unlock()
 		return
 	}
-	changes := e.replace(zones, read.NextOffset)
+	changes := e.replace(zones, read.NextPosition)
 	if read.ReachedEnd && read.AsOf.After(e.asOf) {
 		e.asOf = read.AsOf
 	}
@@ -144,9 +144,9 @@
 }
 
 // ApplyRelay applies a set that another daemon relayed. A set that was read up to a lower
-// offset than the known one is ignored.
+// position than the known one is ignored.
 func (e *Evacuator) ApplyRelay(relay Relay) {
-	if relay.NextOffset < 0 || relay.Age < 0 {
+	if relay.NextPosition < 0 || relay.Age < 0 {
 		return
 	}
 	e.mu.Lock()
@@ -154,19 +154,19 @@
 	if sentAt.After(e.relayedAt) {
 		e.relayedAt = sentAt
 	}
-	if relay.NextOffset < e.nextOffset {
+	if relay.NextPosition < e.nextPosition {
 		e.mu.Unlock()
 		return
 	}
 	var changes []Change
-	if relay.NextOffset > e.nextOffset {
-		zones := make(map[identifier.ZoneName]identifier.Offset)
+	if relay.NextPosition > e.nextPosition {
+		zones := make(map[identifier.ZoneName]identifier.Position)
 		for _, evacuation := range relay.Evacuations {
 			if CheckZone(evacuation.Zone) == nil {
-				zones[evacuation.Zone] = evacuation.Offset
+				zones[evacuation.Zone] = evacuation.Position
 			}
 		}
-		changes = e.replace(zones, relay.NextOffset)
+		changes = e.replace(zones, relay.NextPosition)
 	}
 	asOf := sentAt.Add(-relay.Age)
 	if asOf.After(e.asOf) {
@@ -176,23 +176,23 @@
 	e.announce(changes, true)
 }
 
-// replace sets the zones as of an offset and returns what changed. The caller holds the
+// replace sets the zones as of an position and returns what changed. The caller holds the
 // lock.
-func (e *Evacuator) replace(zones map[identifier.ZoneName]identifier.Offset, nextOffset identifier.Offset) (changes []Change) {
-	for zone, offset := range zones {
+func (e *Evacuator) replace(zones map[identifier.ZoneName]identifier.Position, nextPosition identifier.Position) (changes []Change) {
+	for zone, position := range zones {
 		_, wasEvacuated := e.zones[zone]
 		if !wasEvacuated {
-			changes = append(changes, Change{Evacuation: Evacuation{Zone: zone, Offset: offset}})
+			changes = append(changes, Change{Evacuation: Evacuation{Zone: zone, Position: position}})
 		}
 	}
-	for zone, offset := range e.zones {
+	for zone, position := range e.zones {
 		_, isEvacuated := zones[zone]
 		if !isEvacuated {
-			changes = append(changes, Change{Evacuation: Evacuation{Zone: zone, Offset: offset}, IsRevoked: true})
+			changes = append(changes, Change{Evacuation: Evacuation{Zone: zone, Position: position}, IsRevoked: true})
 		}
 	}
 	e.zones = zones
-	e.nextOffset = nextOffset
+	e.nextPosition = nextPosition
 	return changes
 }
 
@@ -203,16 +203,16 @@
 	}
 }
 
-// RelaySince returns the set to relay to a daemon that knows it up to an offset, without
+// RelaySince returns the set to relay to a daemon that knows it up to an position, without
 // the zones if that daemon knows them. It returns nil while nothing is known.
-func (e *Evacuator) RelaySince(known identifier.Offset) *Relay {
+func (e *Evacuator) RelaySince(known identifier.Position) *Relay {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.nextOffset == identifier.NoOffset || e.asOf.IsZero() {
+	if e.nextPosition == identifier.NoPosition || e.asOf.IsZero() {
 		return nil
 	}
-	relay := &Relay{NextOffset: e.nextOffset, Age: max(0, e.clock.Since(e.asOf))}
-	if known != e.nextOffset {
+	relay := &Relay{NextPosition: e.nextPosition, Age: max(0, e.clock.Since(e.asOf))}
+	if known != e.nextPosition {
 		relay.Evacuations = e.sorted()
 	}
 	return relay
@@ -220,23 +220,23 @@
 
 // sorted returns the evacuations by zone. The caller holds the lock.
 func (e *Evacuator) sorted() (evacuations []Evacuation) {
-	for zone, offset := range e.zones {
-		evacuations = append(evacuations, Evacuation{Zone: zone, Offset: offset})
+	for zone, position := range e.zones {
+		evacuations = append(evacuations, Evacuation{Zone: zone, Position: position})
 	}
 	slices.SortFunc(evacuations, func(a, b Evacuation) int { return cmp.Compare(a.Zone, b.Zone) })
 	return evacuations
 }
 
-// NextOffset returns the offset up to which the set is known, or NoOffset.
-func (e *Evacuator) NextOffset() identifier.Offset {
+// NextPosition returns the position up to which the set is known, or NoPosition.
+func (e *Evacuator) NextPosition() identifier.Position {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.nextOffset
+	return e.nextPosition
 }
 
 // IsKnown reports whether the set was read or relayed once.
 func (e *Evacuator) IsKnown() bool {
-	return e.NextOffset() != identifier.NoOffset
+	return e.NextPosition() != identifier.NoPosition
 }
 
 // Age returns the time since the set was last known to be complete, or Never.
@@ -289,9 +289,9 @@
 // Status is the state of the set, as /v1/status shows it. AgeMs is -1 if the set was
 // neither read nor relayed.
 type Status struct {
-	Zones      []Evacuation      `json:"zones"`
-	NextOffset identifier.Offset `json:"next-offset"`
-	AgeMs      int64             `json:"age-ms"`
+	Zones        []Evacuation        `json:"zones"`
+	NextPosition identifier.Position `json:"next-offset"`
+	AgeMs        int64               `json:"age-ms"`
 }
 
 // Status returns the state of the set.
@@ -299,7 +299,7 @@
 	age := e.Age()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	status := Status{Zones: e.sorted(), NextOffset: e.nextOffset, AgeMs: age.Milliseconds()}
+	status := Status{Zones: e.sorted(), NextPosition: e.nextPosition, AgeMs: age.Milliseconds()}
 	if age == Never {
 		status.AgeMs = -1
 	}
--- a/process/evacuator/evacuator_test.go
+++ b/process/evacuator/evacuator_test.go
@@ -12,29 +12,29 @@
 	"sassafraspass.dev/sassafraspass/identifier"
 )
 
-func evacuated(zone identifier.ZoneName, offset identifier.Offset) Change {
-	return Change{Evacuation: Evacuation{Zone: zone, Offset: offset}}
+func evacuated(zone identifier.ZoneName, position identifier.Position) Change {
+	return Change{Evacuation: Evacuation{Zone: zone, Position: position}}
 }
 
-func revoked(zone identifier.ZoneName, offset identifier.Offset) Change {
-	return Change{Evacuation: Evacuation{Zone: zone, Offset: offset}, IsRevoked: true}
+func revoked(zone identifier.ZoneName, position identifier.Position) Change {
+	return Change{Evacuation: Evacuation{Zone: zone, Position: position}, IsRevoked: true}
 }
 
 func TestNewestRecordWins(t *testing.T) {
-	snapshot := func(next identifier.Offset, changes ...Change) func(e *Evacuator) {
+	snapshot := func(next identifier.Position, changes ...Change) func(e *Evacuator) {
 		return func(e *Evacuator) {
-			e.ApplyRead(Read{Changes: changes, NextOffset: next, IsSnapshot: true, ReachedEnd: true, AsOf: e.clock.Now()})
+			e.ApplyRead(Read{Changes: changes, NextPosition: next, IsSnapshot: true, ReachedEnd: true, AsOf: e.clock.Now()})
 		}
 	}
-	read := func(next identifier.Offset, changes ...Change) func(e *Evacuator) {
+	read := func(next identifier.Position, changes ...Change) func(e *Evacuator) {
 		return func(e *Evacuator) {
-			e.ApplyRead(Read{Changes: changes, NextOffset: next, ReachedEnd: true, AsOf: e.clock.Now()})
+			e.ApplyRead(Read{Changes: changes, NextPosition: next, ReachedEnd: true, AsOf: e.clock.Now()})
 		}
 	}
-	relay := func(next identifier.Offset, evacuations ...Evacuation) func(e *Evacuator) {
-		return func(e *Evacuator) { e.ApplyRelay(Relay{NextOffset: next, Evacuations: evacuations}) }
+	relay := func(next identifier.Position, evacuations ...Evacuation) func(e *Evacuator) {
+		return func(e *Evacuator) { e.ApplyRelay(Relay{NextPosition: next, Evacuations: evacuations}) }
 	}
-	a3 := Evacuation{Zone: "a", Offset: 3}
+	a3 := Evacuation{Zone: "a", Position: 3}
 	tests := []struct {
 		name   string
 		steps  []func(e *Evacuator)
@@ -51,10 +51,10 @@
 		{"newer relay that revokes", []func(*Evacuator){snapshot(4, evacuated("a", 3)), relay(5)}, nil},
 		{"older snapshot after a relay", []func(*Evacuator){relay(4, a3), snapshot(3)}, []Evacuation{a3}},
 		{"records that a relay covered", []func(*Evacuator){snapshot(1), relay(5), read(5, evacuated("a", 3), revoked("a", 4))}, nil},
-		{"records before and after a relay", []func(*Evacuator){snapshot(1), relay(3, Evacuation{Zone: "b", Offset: 2}), read(5, evacuated("b", 2), evacuated("a", 3), revoked("b", 4))}, []Evacuation{a3}},
+		{"records before and after a relay", []func(*Evacuator){snapshot(1), relay(3, Evacuation{Zone: "b", Position: 2}), read(5, evacuated("b", 2), evacuated("a", 3), revoked("b", 4))}, []Evacuation{a3}},
 		{"snapshot after records were deleted unread", []func(*Evacuator){snapshot(2, evacuated("b", 1)), snapshot(9, evacuated("a", 3))}, []Evacuation{a3}},
 		{"records without a snapshot", []func(*Evacuator){read(4, evacuated("a", 3))}, nil},
-		{"relayed zone without a name", []func(*Evacuator){relay(4, Evacuation{Offset: 2}, a3)}, []Evacuation{a3}},
+		{"relayed zone without a name", []func(*Evacuator){relay(4, Evacuation{Position: 2}, a3)}, []Evacuation{a3}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -78,24 +78,24 @@
 		random := rand.New(rand.NewPCG(seed, 1))
 		var log []Change
 		daemons := []*Evacuator{New(clock), New(clock), New(clock)}
-		next := []identifier.Offset{identifier.NoOffset, identifier.NoOffset, identifier.NoOffset}
+		next := []identifier.Position{identifier.NoPosition, identifier.NoPosition, identifier.NoPosition}
 		readAt := func(i int) {
-			read := Read{NextOffset: identifier.Offset(len(log)), IsSnapshot: next[i] == identifier.NoOffset, ReachedEnd: true, AsOf: clock.Now()}
+			read := Read{NextPosition: identifier.Position(len(log)), IsSnapshot: next[i] == identifier.NoPosition, ReachedEnd: true, AsOf: clock.Now()}
 			read.Changes = log[max(0, next[i]):]
-			next[i] = read.NextOffset
+			next[i] = read.NextPosition
 			daemons[i].ApplyRead(read)
 		}
 		for range 40 {
 			i, j := random.IntN(3), random.IntN(3)
 			switch random.IntN(3) {
 			case 0:
-				change := evacuated(zones[random.IntN(3)], identifier.Offset(len(log)))
+				change := evacuated(zones[random.IntN(3)], identifier.Position(len(log)))
 				change.IsRevoked = random.IntN(2) == 0
 				log = append(log, change)
 			case 1:
 				readAt(i)
 			default:
-				relay := daemons[j].RelaySince(daemons[i].NextOffset())
+				relay := daemons[j].RelaySince(daemons[i].NextPosition())
 				if relay != nil {
 					daemons[i].ApplyRelay(*relay)
 				}
@@ -126,17 +126,17 @@
 	is.Equal(e.Age(), Never)
 	is.True(!e.IsKnown())
 	is.True(e.IsOlderThan(time.Hour))
-	is.True(e.RelaySince(identifier.NoOffset) == nil)
-	e.ApplyRelay(Relay{NextOffset: 4, Age: time.Second})
-	e.ApplyRelay(Relay{NextOffset: 4, Age: 3 * time.Second})
+	is.True(e.RelaySince(identifier.NoPosition) == nil)
+	e.ApplyRelay(Relay{NextPosition: 4, Age: time.Second})
+	e.ApplyRelay(Relay{NextPosition: 4, Age: 3 * time.Second})
 	is.Equal(e.Age(), time.Second)
-	e.ApplyRelay(Relay{NextOffset: 3}) // older knowledge does not renew the newer one
+	e.ApplyRelay(Relay{NextPosition: 3}) // older knowledge does not renew the newer one
 	is.Equal(e.Age(), time.Second)
 	clock.Advance(time.Second)
-	is.Equal(e.RelaySince(4), &Relay{NextOffset: 4, Age: 2 * time.Second})
-	e.ApplyRead(Read{NextOffset: 5, IsSnapshot: true, AsOf: clock.Now()})
+	is.Equal(e.RelaySince(4), &Relay{NextPosition: 4, Age: 2 * time.Second})
+	e.ApplyRead(Read{NextPosition: 5, IsSnapshot: true, AsOf: clock.Now()})
 	is.Equal(e.Age(), 2*time.Second) // further records may follow
-	is.Equal(e.NextOffset(), identifier.Offset(5))
+	is.Equal(e.NextPosition(), identifier.Position(5))
 }
 
 // TestCutOffDaemonTrustsItsSetOnlyForAWhile guards against requests to a zone that was
@@ -146,20 +146,20 @@
 	clock := clockwork.NewFakeClock()
 	e := New(clock)
 	is.True(!e.IsTrusted())
-	e.ApplyRelay(Relay{NextOffset: 1})
+	e.ApplyRelay(Relay{NextPosition: 1})
 	clock.Advance(time.Minute)
 	is.True(e.IsTrusted()) // no limit is set
 	e.MaxCutOffAge = func() time.Duration { return 4 * time.Second }
 	is.True(e.IsTrusted()) // there is no other daemon
 	e.HasSources = func() bool { return true }
 	is.True(!e.IsTrusted())
-	e.ApplyRelay(Relay{NextOffset: 1, Delay: time.Minute}) // sent before a pause of this daemon
+	e.ApplyRelay(Relay{NextPosition: 1, Delay: time.Minute}) // sent before a pause of this daemon
 	is.True(!e.IsTrusted())
-	e.ApplyRelay(Relay{NextOffset: 1, Age: time.Minute}) // the store is out of reach for all
+	e.ApplyRelay(Relay{NextPosition: 1, Age: time.Minute}) // the store is out of reach for all
 	is.True(e.IsTrusted())
 	clock.Advance(5 * time.Second)
 	is.True(!e.IsTrusted())
-	e.ApplyRead(Read{NextOffset: 1, ReachedEnd: true, AsOf: clock.Now()})
+	e.ApplyRead(Read{NextPosition: 1, ReachedEnd: true, AsOf: clock.Now()})
 	is.True(e.IsTrusted())
 }
 
--- a/process/fetcher/fetcher.go
+++ b/process/fetcher/fetcher.go
@@ -25,7 +25,7 @@
 type hint struct {
 	peer    identifier.Address
 	version identifier.Offset
-	epoch   identifier.Offset
+	epoch   identifier.Position
 }
 
 // Fetcher fetches newer versions and epochs from peers.
@@ -58,7 +58,7 @@
 
 // isBehind reports whether this daemon's version or epoch is older than the
 // given one.
-func (f *Fetcher) isBehind(version, epoch identifier.Offset) bool {
+func (f *Fetcher) isBehind(version identifier.Offset, epoch identifier.Position) bool {
 	return version > f.Follower.Version().Number || epoch > f.EpochTracker.Current().Number
 }
 
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -64,6 +64,9 @@
 	// Append appends a record to a stream of the log and returns its offset.
 	// After an error the record may still have been appended.
 	Append func(ctx context.Context, stream identifier.StreamName, data []byte) (identifier.Offset, error)
+	// AppendAt appends an epoch record if the epochs still end at a position, and replaces
+	// Append unless it is nil.
+	AppendAt func(ctx context.Context, data []byte, at identifier.Position) (identifier.Position, error)
 	// Read returns up to limit records of a stream, starting at an offset. It
 	// waits up to wait for the first one.
 	Read func(ctx context.Context, stream identifier.StreamName, from identifier.Offset, limit int, wait time.Duration) (appender.Batch, error)
@@ -168,7 +171,7 @@
 	f.Follower = follower.New(f.Assert, f.Meter)
 	f.EpochTracker = epochtracker.New()
 	f.Confirmer = confirmer.New(f.Clock, f.Identity.Self.Incarnation, appender.StreamConfig, appender.StreamEpochs)
-	f.Confirmer.KnownOffsets = func() (identifier.Offset, identifier.Offset) {
+	f.Confirmer.Known = func() (identifier.Offset, identifier.Position) {
 		return f.Follower.Version().Number, f.EpochTracker.Current().Number
 	}
 	f.Confirmer.Members = f.epochIncarnations
@@ -220,6 +223,7 @@
 		IsCurrent:    f.Confirmer.IsCurrent,
 		OwnHeartbeat: f.OwnHeartbeat,
 		Append:       f.Drivers.Append,
+		AppendAt:     f.Drivers.AppendAt,
 		OnRemoved:    func() { f.removeOnce.Do(func() { close(f.removed) }) },
 		Clock:        f.Clock,
 		Log:          sharesLog,
@@ -261,9 +265,9 @@
 // caller must set its OnTruncated.
 func (f *Fleet) EpochTailer() *tailer.Tailer {
 	t := f.Tailer(appender.StreamEpochs)
-	t.NextOffset = f.EpochTracker.NextOffset
+	t.NextOffset = func() identifier.Offset { return identifier.Offset(f.EpochTracker.NextPosition()) }
 	t.Handle = func(record appender.Record) {
-		err := f.EpochTracker.Handle(record.Offset, record.Data)
+		err := f.EpochTracker.Handle(epochtracker.Record{Position: identifier.Position(record.Offset), Data: record.Data})
 		if err != nil {
 			f.Log.Debug("An epoch record was ignored.", "err", err)
 		}
--- a/process/gateway/admission_benchmark_test.go
+++ b/process/gateway/admission_benchmark_test.go
@@ -72,7 +72,7 @@
 		MaxAttempts: 2, AllowAnonymous: true, Targets: []parser.RouteTarget{{Service: plainService, Weight: 1}},
 	}}
 	read := drivers.ReadVersions
-	drivers.ReadVersions = func(ctx context.Context, from identifier.Offset, wait time.Duration) (VersionBatch, error) {
+	drivers.ReadVersions = func(ctx context.Context, from identifier.Position, wait time.Duration) (VersionBatch, error) {
 		batch, err := read(ctx, from, wait)
 		if len(batch.Versions) > 0 {
 			batch.Versions[0] = version
@@ -104,9 +104,9 @@
 		server := httptest.NewServer(servers[i])
 		b.Cleanup(server.Close)
 		name := identifier.UpstreamName(fmt.Sprint("server-", i))
-		store.upstreams = append(store.upstreams, UpstreamChange{Name: name, Offset: identifier.Offset(i), Entry: registrar.Entry{
+		store.upstreams = append(store.upstreams, UpstreamChange{Name: name, Position: identifier.Position(i), Entry: registrar.Entry{
 			Name: name, Service: plainService, Address: identifier.Address(server.Listener.Addr().String()), Zone: identifier.ZoneName(fmt.Sprintf("z-%d", i%3)),
-			State: registrar.StateReady, Slots: plainSlots, StartedAt: time.UnixMilli(1), Offset: identifier.Offset(i),
+			State: registrar.StateReady, Slots: plainSlots, StartedAt: time.UnixMilli(1), Position: identifier.Position(i),
 		}})
 	}
 	daemons := startFleetWith(b, plainDaemons, plainDrivers(store), func(s *configurer.Gateway) {
--- a/process/gateway/admission_test.go
+++ b/process/gateway/admission_test.go
@@ -38,12 +38,12 @@
 			g := newNonHub(clock, "h1")
 			g.settings.Store(&configurer.Settings{VM: "self", Zone: "z", Gateway: &configurer.Gateway{PlainAdmission: test.mode}})
 			g.registrar = registrar.New(clock)
-			update := registrar.Update{NextOffset: 9, IsSnapshot: true}
+			update := registrar.Update{NextPosition: 9, IsSnapshot: true}
 			for i := range test.servers {
 				name := identifier.UpstreamName(fmt.Sprint("s", i))
-				update.Entries = append(update.Entries, registrar.Entry{Name: name, Address: identifier.Address(name + ":80"), Service: "search", State: registrar.StateReady, Slots: 12 / test.servers, Offset: identifier.Offset(i)})
+				update.Entries = append(update.Entries, registrar.Entry{Name: name, Address: identifier.Address(name + ":80"), Service: "search", State: registrar.StateReady, Slots: 12 / test.servers, Position: identifier.Position(i)})
 			}
-			update.Entries = append(update.Entries, registrar.Entry{Name: "other", Address: "other:80", Service: "other", State: registrar.StateReady, Slots: 6, Offset: 8})
+			update.Entries = append(update.Entries, registrar.Entry{Name: "other", Address: "other:80", Service: "other", State: registrar.StateReady, Slots: 6, Position: 8})
 			g.registrar.Apply(update)
 			for i := range test.daemons - 1 {
 				receiveHeartbeat(g, fmt.Sprint("d", i), 1)
--- a/process/gateway/candidates_test.go
+++ b/process/gateway/candidates_test.go
@@ -32,12 +32,12 @@
 	f.VersionLoaded.Store(true)
 	g := &Gateway{Fleet: f}
 	g.settings.Store(&configurer.Settings{VM: "self", Zone: "z"})
-	proposal := epochtracker.Proposal{BasedOn: identifier.NoOffset}
+	proposal := epochtracker.Proposal{BasedOn: identifier.NoPosition}
 	for _, hub := range hubs {
 		proposal.Members = append(proposal.Members, newMember(hub))
 	}
 	raw, _ := json.Marshal(proposal)
-	_ = f.EpochTracker.Handle(0, raw)
+	_ = f.EpochTracker.Handle(epochtracker.Record{Position: 0, Data: raw})
 	return g
 }
 
@@ -95,7 +95,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for number := identifier.Offset(1); number < 20_000; number++ {
+		for number := identifier.Position(1); number < 20_000; number++ {
 			epoch := epochtracker.Epoch{Number: number}
 			if number%2 == 0 {
 				epoch.Members = []epochtracker.Member{newMember("h1")}
--- a/process/gateway/drivers.go
+++ b/process/gateway/drivers.go
@@ -13,6 +13,7 @@
 	"sassafraspass.dev/sassafraspass/process/registrar"
 	"sassafraspass.dev/sassafraspass/process/sharer"
 	"sassafraspass.dev/sassafraspass/request/proxier"
+	"sassafraspass.dev/sassafraspass/version/epochtracker"
 	"sassafraspass.dev/sassafraspass/version/reducer"
 )
 
@@ -26,25 +27,26 @@
 	Evacuations []evacuator.Change
 	// ParseErrors holds an error for each record that could not be parsed.
 	ParseErrors []error
-	// NextOffset is the offset to read next, the one after the last record that was
-	// read. ReachedEnd reports that no further record followed then.
-	NextOffset identifier.Offset
-	ReachedEnd bool
-	// EndOffset is the offset after the newest record.
-	EndOffset identifier.Offset
+	// NextPosition is the one to read next, after the last record that was read.
+	// ReachedEnd reports that no further record followed then.
+	NextPosition identifier.Position
+	ReachedEnd   bool
+	// EndPosition is the one after the newest record.
+	EndPosition identifier.Position
 	// RecordCount is the number of records that were read.
 	RecordCount int
-	// Truncated reports that the platform deleted records before they were read.
+	// Truncated reports that the platform has not all records from the requested position
+	// on, because it deleted them or came back from an older copy.
 	Truncated bool
 }
 
 // UpstreamChange is one record of the list of upstreams. Entry is set unless the
 // record deletes the upstream or could not be parsed.
 type UpstreamChange struct {
-	Name    identifier.UpstreamName
-	Offset  identifier.Offset
-	Entry   registrar.Entry
-	Deleted bool
+	Name     identifier.UpstreamName
+	Position identifier.Position
+	Entry    registrar.Entry
+	Deleted  bool
 	// ParseError is the reason why the record could not be parsed, if any.
 	ParseError error
 	// Warning says which field of the record was out of range and was clamped.
@@ -54,13 +56,28 @@
 // UpstreamBatch is the result of reading upstream records from the platform.
 type UpstreamBatch struct {
 	Changes []UpstreamChange
-	// NextOffset is the offset to read next, the one after the last record that was
-	// read. ReachedEnd reports that no further record followed then.
-	NextOffset identifier.Offset
-	ReachedEnd bool
-	// EndOffset is the offset after the newest record.
-	EndOffset identifier.Offset
-	// Truncated reports that the platform deleted records before they were read.
+	// NextPosition is the one to read next, after the last record that was read.
+	// ReachedEnd reports that no further record followed then.
+	NextPosition identifier.Position
+	ReachedEnd   bool
+	// EndPosition is the one after the newest record.
+	EndPosition identifier.Position
+	// Truncated reports that the platform has not all records from the requested position
+	// on, because it deleted them or came back from an older copy.
+	Truncated bool
+}
+
+// EpochBatch is the result of reading epoch records from the platform.
+type EpochBatch struct {
+	Records []epochtracker.Record
+	// NextPosition is the one to read next, after the last record that was read.
+	// ReachedEnd reports that no further record followed then.
+	NextPosition identifier.Position
+	ReachedEnd   bool
+	// EndPosition is the one after the newest record.
+	EndPosition identifier.Position
+	// Truncated reports that the platform has not all records from the requested position
+	// on.
 	Truncated bool
 }
 
@@ -92,25 +109,26 @@
 	ReadVMs      func(ctx context.Context) ([]appender.VM, error)
 	RegisterVM   func(ctx context.Context, vm appender.VM) error
 	DeregisterVM func(ctx context.Context, name identifier.VMName) error
-	// AppendEpoch appends a proposal for the next epoch if nextOffset is still the
-	// next offset of the epochs, and returns the record's offset.
-	AppendEpoch func(ctx context.Context, data []byte, nextOffset identifier.Offset) (identifier.Offset, error)
-	// ReadEpochs returns up to limit epoch records from an offset on. It waits up to
-	// wait for the first one.
-	ReadEpochs func(ctx context.Context, stream identifier.StreamName, from identifier.Offset, limit int, wait time.Duration) (appender.Batch, error)
-	// NewestEpoch returns the newest proposal; data is nil if there is none.
-	NewestEpoch func(ctx context.Context) (data []byte, offset identifier.Offset, err error)
-	// ReadVersions and ReadUpstreams read the records from an offset on and wait
-	// up to wait for the first one. If from is identifier.NoOffset, they return the
+	// AppendEpoch appends a proposal for the next epoch if next is still the next
+	// position of the epochs, and returns the record's position.
+	AppendEpoch func(ctx context.Context, data []byte, next identifier.Position) (identifier.Position, error)
+	// ReadEpochs returns the epoch records from a position on. It waits up to wait for
+	// the first one.
+	ReadEpochs func(ctx context.Context, from identifier.Position, wait time.Duration) (EpochBatch, error)
+	// NewestEpoch returns the newest proposal, without data if there is none, and the
+	// position of the next one.
+	NewestEpoch func(ctx context.Context) (newest epochtracker.Record, next identifier.Position, err error)
+	// ReadVersions and ReadUpstreams read the records from a position on and wait
+	// up to wait for the first one. If from is identifier.NoPosition, they return the
 	// newest record of each key immediately.
-	ReadVersions  func(ctx context.Context, from identifier.Offset, wait time.Duration) (VersionBatch, error)
-	ReadUpstreams func(ctx context.Context, from identifier.Offset, wait time.Duration) (UpstreamBatch, error)
+	ReadVersions  func(ctx context.Context, from identifier.Position, wait time.Duration) (VersionBatch, error)
+	ReadUpstreams func(ctx context.Context, from identifier.Position, wait time.Duration) (UpstreamBatch, error)
 
 	// NewestClaim returns the newest claim of the lease on a duty. AppendClaim
-	// appends one if nextOffset is still the next offset of the claims, and returns
-	// the record's offset.
+	// appends one if next is still the next position of the claims, and returns the
+	// record's position.
 	NewestClaim func(ctx context.Context, duty string) (leaser.NewestClaim, error)
-	AppendClaim func(ctx context.Context, duty string, data []byte, nextOffset identifier.Offset) (identifier.Offset, error)
+	AppendClaim func(ctx context.Context, duty string, data []byte, next identifier.Position) (identifier.Position, error)
 
 	// ReadQuarantines returns the records of the quarantined prompt parts.
 	// AppendQuarantine stores one, and DropQuarantine deletes that of a part.
--- a/process/gateway/evacuations.go
+++ b/process/gateway/evacuations.go
@@ -40,10 +40,10 @@
 		if change.IsRevoked {
 			deps.Meter.CountEvent(meter.EventEvacuationEnd)
 			g.coldstarter.RecordReturn(change.Zone)
-			log.Warn("The evacuation of a zone ended.", "zone", change.Zone, "offset", change.Offset, "relayed", isRelayed)
+			log.Warn("The evacuation of a zone ended.", "zone", change.Zone, "offset", change.Position, "relayed", isRelayed)
 		} else {
 			deps.Meter.CountEvent(meter.EventEvacuation)
-			log.Warn("A zone is evacuated.", "zone", change.Zone, "offset", change.Offset, "relayed", isRelayed)
+			log.Warn("A zone is evacuated.", "zone", change.Zone, "offset", change.Position, "relayed", isRelayed)
 		}
 		g.notifyUpstreamsChanged()
 		g.Heartbeater.SendAllNow()
@@ -76,11 +76,11 @@
 		asOf = requestedAt.Add(versionReadWait)
 	}
 	g.evacuator.ApplyRead(evacuator.Read{
-		Changes:    batch.Evacuations,
-		NextOffset: batch.NextOffset,
-		IsSnapshot: isSnapshot,
-		ReachedEnd: batch.ReachedEnd,
-		AsOf:       asOf,
+		Changes:      batch.Evacuations,
+		NextPosition: batch.NextPosition,
+		IsSnapshot:   isSnapshot,
+		ReachedEnd:   batch.ReachedEnd,
+		AsOf:         asOf,
 	})
 }
 
--- a/process/gateway/evacuations_test.go
+++ b/process/gateway/evacuations_test.go
@@ -48,7 +48,7 @@
 	clock := clockwork.NewFakeClock()
 	g := newNonHubWithEvacuator(clock)
 	g.waitUntilVersionReadDue(ctx) // returns at once, as nothing is known
-	g.applyRelay(heartbeater.Heartbeat{Incarnation: "h1", Relay: &heartbeater.Relay{Evacuations: &evacuator.Relay{NextOffset: 3, Age: time.Second}}})
+	g.applyRelay(heartbeater.Heartbeat{Incarnation: "h1", Relay: &heartbeater.Relay{Evacuations: &evacuator.Relay{NextPosition: 3, Age: time.Second}}})
 	done := make(chan struct{})
 	go func() {
 		g.waitUntilVersionReadDue(ctx)
@@ -73,7 +73,7 @@
 
 var errStoreDown = errors.New("the store is down")
 
-func (s *evacuationStore) read(_ context.Context, _ identifier.Offset, wait time.Duration) (VersionBatch, error) {
+func (s *evacuationStore) read(_ context.Context, _ identifier.Position, wait time.Duration) (VersionBatch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waits = append(s.waits, wait)
@@ -88,9 +88,9 @@
 // TestEvacuationsArriveByStoreOrByPeer covers a restart while the store answers, one while
 // it does not and a peer relays the set, and the loss of the store after that.
 func TestEvacuationsArriveByStoreOrByPeer(t *testing.T) {
-	evacuated := evacuator.Change{Evacuation: evacuator.Evacuation{Zone: "z1", Offset: 3}}
-	relay := &evacuator.Relay{NextOffset: 4, Evacuations: []evacuator.Evacuation{evacuated.Evacuation}}
-	snapshot := VersionBatch{Evacuations: []evacuator.Change{evacuated}, NextOffset: 4, ReachedEnd: true, RecordCount: 1}
+	evacuated := evacuator.Change{Evacuation: evacuator.Evacuation{Zone: "z1", Position: 3}}
+	relay := &evacuator.Relay{NextPosition: 4, Evacuations: []evacuator.Evacuation{evacuated.Evacuation}}
+	snapshot := VersionBatch{Evacuations: []evacuator.Change{evacuated}, NextPosition: 4, ReachedEnd: true, RecordCount: 1}
 	tests := []struct {
 		name    string
 		batches []VersionBatch
@@ -98,7 +98,7 @@
 	}{
 		{"store", []VersionBatch{snapshot}, nil},
 		{"peer", nil, relay},
-		{"old records were deleted unread", []VersionBatch{{NextOffset: 1, ReachedEnd: true}, {NextOffset: 1, Truncated: true}, snapshot}, nil},
+		{"old records were deleted unread", []VersionBatch{{NextPosition: 1, ReachedEnd: true}, {NextPosition: 1, Truncated: true}, snapshot}, nil},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -145,16 +145,16 @@
 	relay := func(hub identifier.Incarnation, relay evacuator.Relay) {
 		g.applyRelay(heartbeater.Heartbeat{Incarnation: hub, Relay: &heartbeater.Relay{Evacuations: &relay}})
 	}
-	relay("h1", evacuator.Relay{NextOffset: 4})
+	relay("h1", evacuator.Relay{NextPosition: 4})
 	clock.Advance(time.Second) // h1 is killed
-	relay("h2", evacuator.Relay{NextOffset: 5, Evacuations: []evacuator.Evacuation{{Zone: "z1", Offset: 4}}})
+	relay("h2", evacuator.Relay{NextPosition: 5, Evacuations: []evacuator.Evacuation{{Zone: "z1", Position: 4}}})
 	is.True(g.evacuator.IsEvacuated("z1"))
 	is.True(!g.evacuator.IsOlderThan(maxRelayedEvacuationsAge))
-	relay("h1", evacuator.Relay{NextOffset: 4}) // sent before it was killed
+	relay("h1", evacuator.Relay{NextPosition: 4}) // sent before it was killed
 	is.True(g.evacuator.IsEvacuated("z1"))
 	marked := heartbeater.Heartbeat{Marks: heartbeater.Marks{Evacuations: 5}}
 	is.Equal(g.evacuator.RelaySince(marked.Marks.Evacuations).Evacuations, nil) // a peer that knows them gets the age only
-	is.Equal(len(g.evacuator.RelaySince(identifier.NoOffset).Evacuations), 1)
+	is.Equal(len(g.evacuator.RelaySince(identifier.NoPosition).Evacuations), 1)
 }
 
 // TestWaitingRequestsAreRefusedIfTheLastZoneIsEvacuated guards against requests that wait for
@@ -164,7 +164,7 @@
 	clock := clockwork.NewFakeClock()
 	g := newNonHubWithEvacuator(clock)
 	g.registrar = registrar.New(clock)
-	g.registrar.Apply(registrar.Update{IsSnapshot: true, NextOffset: 3, Entries: []registrar.Entry{
+	g.registrar.Apply(registrar.Update{IsSnapshot: true, NextPosition: 3, Entries: []registrar.Entry{
 		{Name: "p", Address: "1", Service: "llm", Zone: "z1", State: registrar.StateReady, Role: parser.RolePrefill, Slots: 1},
 		{Name: "d", Address: "2", Service: "llm", Zone: "z2", State: registrar.StateReady, Role: parser.RoleDecode, Slots: 1},
 	}})
@@ -181,7 +181,7 @@
 		refused <- refusal
 	}()
 	time.Sleep(20 * time.Millisecond)
-	g.evacuator.ApplyRelay(evacuator.Relay{NextOffset: 5, Evacuations: []evacuator.Evacuation{{Zone: "z2", Offset: 4}}})
+	g.evacuator.ApplyRelay(evacuator.Relay{NextPosition: 5, Evacuations: []evacuator.Evacuation{{Zone: "z2", Position: 4}}})
 	for {
 		g.configurePlacer("llm", profile)
 		select {
@@ -198,7 +198,7 @@
 func (s *memoryStore) evacuate(zone identifier.ZoneName, isRevoked bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	evacuation := evacuator.Evacuation{Zone: zone, Offset: s.version + 1 + identifier.Offset(len(s.evacuations))}
+	evacuation := evacuator.Evacuation{Zone: zone, Position: s.version + 1 + identifier.Position(len(s.evacuations))}
 	s.evacuations = append(s.evacuations, evacuator.Change{Evacuation: evacuation, IsRevoked: isRevoked})
 }
 
@@ -240,14 +240,14 @@
 	clock := clockwork.NewFakeClock()
 	g := newNonHubWithEvacuator(clock)
 	g.settings.Store(&configurer.Settings{VM: "self", Zone: "z", Gateway: &configurer.Gateway{EvacuationBound: 5 * time.Second}})
-	g.evacuator.ApplyRelay(evacuator.Relay{NextOffset: 1})
+	g.evacuator.ApplyRelay(evacuator.Relay{NextPosition: 1})
 	clock.Advance(4400 * time.Millisecond)
 	is.True(g.evacuator.IsTrusted())
 	clock.Advance(200 * time.Millisecond)
 	is.True(!g.evacuator.IsTrusted())
 	sentAt := clock.Now()
 	clock.Advance(10 * time.Second) // a pause of the daemon, with a response that has arrived unread
-	relay := &heartbeater.Relay{Evacuations: &evacuator.Relay{NextOffset: 1, Age: time.Second}}
+	relay := &heartbeater.Relay{Evacuations: &evacuator.Relay{NextPosition: 1, Age: time.Second}}
 	g.OnHeartbeat = g.applyRelay
 	g.Heartbeater.OnResponse(heartbeater.Heartbeat{Incarnation: "h1", Relay: relay}, sentAt)
 	is.True(!g.evacuator.IsTrusted())
--- a/process/gateway/fleet_benchmark_test.go
+++ b/process/gateway/fleet_benchmark_test.go
@@ -24,6 +24,7 @@
 	"sassafraspass.dev/sassafraspass/process/sharer"
 	"sassafraspass.dev/sassafraspass/request/placer"
 	"sassafraspass.dev/sassafraspass/request/proxier"
+	"sassafraspass.dev/sassafraspass/version/epochtracker"
 	"sassafraspass.dev/sassafraspass/version/parser"
 	"sassafraspass.dev/sassafraspass/version/reducer"
 )
@@ -32,7 +33,7 @@
 type memoryStore struct {
 	mu        sync.Mutex
 	vms       map[identifier.VMName]appender.VM
-	epochs    []appender.Record
+	epochs    []epochtracker.Record
 	upstreams []UpstreamChange
 	// evacuations are the records that follow that of the version, and versionReads the
 	// number of reads of both.
@@ -41,7 +42,7 @@
 	// newest holds the newest record of each upstream, and calls and records what was
 	// read and appended.
 	newest  map[identifier.UpstreamName]UpstreamChange
-	version identifier.Offset
+	version identifier.Position
 	calls   int
 	records int
 }
@@ -50,7 +51,7 @@
 	return &memoryStore{vms: make(map[identifier.VMName]appender.VM), newest: make(map[identifier.UpstreamName]UpstreamChange), version: 1}
 }
 
-var errConflict = errors.New("the topic has newer records")
+var errConflict = errors.New("the topic ends elsewhere")
 
 func (s *memoryStore) readVMs(context.Context) (vms []appender.VM, err error) {
 	s.mu.Lock()
@@ -70,15 +71,15 @@
 	return nil
 }
 
-func (s *memoryStore) appendEpoch(_ context.Context, data []byte, nextOffset identifier.Offset) (identifier.Offset, error) {
+func (s *memoryStore) appendEpoch(_ context.Context, data []byte, next identifier.Position) (identifier.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	if identifier.Offset(len(s.epochs)) != nextOffset {
+	if identifier.Position(len(s.epochs)) != next {
 		return 0, errConflict
 	}
-	s.epochs = append(s.epochs, appender.Record{Offset: nextOffset, Data: data})
-	return nextOffset, nil
+	s.epochs = append(s.epochs, epochtracker.Record{Position: next, Data: data})
+	return next, nil
 }
 
 // storePollInterval is how often a waiting read looks for new records.
@@ -107,24 +108,25 @@
 	}
 }
 
-func (s *memoryStore) readEpochs(ctx context.Context, _ identifier.StreamName, from identifier.Offset, _ int, wait time.Duration) (batch appender.Batch, err error) {
+func (s *memoryStore) readEpochs(ctx context.Context, from identifier.Position, wait time.Duration) (batch EpochBatch, err error) {
 	s.await(ctx, wait, func() bool {
 		batch.Records = slices.Clone(s.epochs[min(len(s.epochs), int(max(0, from))):])
-		batch.NextOffset = identifier.Offset(len(s.epochs))
+		batch.NextPosition = identifier.Position(len(s.epochs))
+		batch.ReachedEnd = true
 		return len(batch.Records) > 0
 	})
 	return batch, ctx.Err()
 }
 
-func (s *memoryStore) readUpstreams(ctx context.Context, from identifier.Offset, wait time.Duration) (batch UpstreamBatch, err error) {
+func (s *memoryStore) readUpstreams(ctx context.Context, from identifier.Position, wait time.Duration) (batch UpstreamBatch, err error) {
 	s.await(ctx, wait, func() bool {
-		if from == identifier.NoOffset {
+		if from == identifier.NoPosition {
 			batch.Changes = slices.Collect(maps.Values(s.newest))
 		} else {
 			batch.Changes = slices.Clone(s.upstreams[min(len(s.upstreams), int(from)):])
 		}
 		s.records += len(batch.Changes)
-		batch.NextOffset = identifier.Offset(len(s.upstreams))
+		batch.NextPosition = identifier.Position(len(s.upstreams))
 		batch.ReachedEnd = true
 		return len(batch.Changes) > 0
 	})
@@ -151,15 +153,15 @@
 
 // put appends a record of an upstream. The caller holds the lock.
 func (s *memoryStore) put(entry registrar.Entry) {
-	entry.Offset = identifier.Offset(len(s.upstreams))
-	change := UpstreamChange{Name: entry.Name, Offset: entry.Offset, Entry: entry}
+	entry.Position = identifier.Position(len(s.upstreams))
+	change := UpstreamChange{Name: entry.Name, Position: entry.Position, Entry: entry}
 	s.upstreams = append(s.upstreams, change)
 	s.newest[entry.Name] = change
 }
 
 // remove appends the removal of an upstream. The caller holds the lock.
 func (s *memoryStore) remove(name identifier.UpstreamName) {
-	s.upstreams = append(s.upstreams, UpstreamChange{Name: name, Offset: identifier.Offset(len(s.upstreams)), Deleted: true})
+	s.upstreams = append(s.upstreams, UpstreamChange{Name: name, Position: identifier.Position(len(s.upstreams)), Deleted: true})
 	delete(s.newest, name)
 }
 
@@ -168,11 +170,11 @@
 
 // readVersions returns the newest version if it is not older than from, and the
 // evacuations after it.
-func (s *memoryStore) readVersions(ctx context.Context, from identifier.Offset, wait time.Duration) (batch VersionBatch, err error) {
+func (s *memoryStore) readVersions(ctx context.Context, from identifier.Position, wait time.Duration) (batch VersionBatch, err error) {
 	s.await(ctx, wait, func() bool {
-		batch = VersionBatch{NextOffset: s.version + 1 + identifier.Offset(len(s.evacuations)), ReachedEnd: true}
+		batch = VersionBatch{NextPosition: s.version + 1 + identifier.Position(len(s.evacuations)), ReachedEnd: true}
 		if from <= s.version {
-			batch.Versions = []*reducer.Version{newBenchmarkVersion(s.version)}
+			batch.Versions = []*reducer.Version{newBenchmarkVersion(identifier.Offset(s.version))}
 		}
 		batch.Evacuations = slices.Clone(s.evacuations[max(0, int(from-s.version)-1):])
 		batch.RecordCount = len(batch.Versions) + len(batch.Evacuations)
@@ -195,16 +197,18 @@
 
 func (s *memoryStore) drivers() Drivers {
 	return Drivers{
-		ReadVMs:       s.readVMs,
-		RegisterVM:    s.registerVM,
-		DeregisterVM:  func(context.Context, identifier.VMName) error { return nil },
-		AppendEpoch:   s.appendEpoch,
-		ReadEpochs:    s.readEpochs,
-		NewestEpoch:   func(context.Context) ([]byte, identifier.Offset, error) { return nil, identifier.NoOffset, nil },
+		ReadVMs:      s.readVMs,
+		RegisterVM:   s.registerVM,
+		DeregisterVM: func(context.Context, identifier.VMName) error { return nil },
+		AppendEpoch:  s.appendEpoch,
+		ReadEpochs:   s.readEpochs,
+		NewestEpoch: func(context.Context) (newest epochtracker.Record, next identifier.Position, err error) {
+			return newest, 0, nil
+		},
 		ReadVersions:  s.readVersions,
 		ReadUpstreams: s.readUpstreams,
 		NewestClaim:   func(context.Context, string) (leaser.NewestClaim, error) { return leaser.NewestClaim{}, nil },
-		AppendClaim: func(context.Context, string, []byte, identifier.Offset) (identifier.Offset, error) {
+		AppendClaim: func(context.Context, string, []byte, identifier.Position) (identifier.Position, error) {
 			return 0, errConflict
 		},
 		ReadQuarantines:    func(context.Context) (sharer.RecordBatch, error) { return sharer.RecordBatch{}, nil },
--- a/process/gateway/fleet_rig_test.go
+++ b/process/gateway/fleet_rig_test.go
@@ -17,7 +17,6 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"sassafraspass.dev/sassafraspass/connection/appender"
 	"sassafraspass.dev/sassafraspass/identifier"
 	"sassafraspass.dev/sassafraspass/process/asserter"
 	"sassafraspass.dev/sassafraspass/process/configurer"
@@ -212,21 +211,21 @@
 		}
 		return errRigCutOff
 	}
-	drivers.ReadEpochs = func(ctx context.Context, stream identifier.StreamName, from identifier.Offset, limit int, wait time.Duration) (appender.Batch, error) {
+	drivers.ReadEpochs = func(ctx context.Context, from identifier.Position, wait time.Duration) (EpochBatch, error) {
 		err := fail(ctx)
 		if err != nil {
-			return appender.Batch{}, err
+			return EpochBatch{}, err
 		}
-		return readEpochs(ctx, stream, from, limit, wait)
+		return readEpochs(ctx, from, wait)
 	}
-	drivers.ReadVersions = func(ctx context.Context, from identifier.Offset, wait time.Duration) (VersionBatch, error) {
+	drivers.ReadVersions = func(ctx context.Context, from identifier.Position, wait time.Duration) (VersionBatch, error) {
 		err := fail(ctx)
 		if err != nil {
 			return VersionBatch{}, err
 		}
 		return readVersions(ctx, from, wait)
 	}
-	drivers.ReadUpstreams = func(ctx context.Context, from identifier.Offset, wait time.Duration) (UpstreamBatch, error) {
+	drivers.ReadUpstreams = func(ctx context.Context, from identifier.Position, wait time.Duration) (UpstreamBatch, error) {
 		err := fail(ctx)
 		if err != nil {
 			return UpstreamBatch{}, err
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -14,7 +13,6 @@
 	"sassafraspass.dev/sassafraspass/process/meter"
 	"sassafraspass.dev/sassafraspass/process/registrar"
 	"sassafraspass.dev/sassafraspass/process/repeater"
-	"sassafraspass.dev/sassafraspass/version/epochtracker"
 	"sassafraspass.dev/sassafraspass/version/reducer"
 	"sassafraspass.dev/sassafraspass/version/router"
 )
@@ -28,6 +26,8 @@
 	// maxRelayedUpstreamsAge is the same for the list of upstreams. It is shorter
 	// because changes must be known while a draining upstream still serves.
 	maxRelayedUpstreamsAge = 1600 * time.Millisecond
+	// epochReadWait is how long a read of the log waits for a new epoch.
+	epochReadWait = time.Second
 	// readDuePollInterval is how often a daemon checks whether a read is due.
 	readDuePollInterval = 200 * time.Millisecond
 	// retryDelay is the pause after a failed access to the platform. A daemon that hears
@@ -62,33 +62,27 @@
 	repeater.Sleep(ctx, g.Clock, b.delay(!g.isHub() && g.hearsHub()))
 }
 
-// fleetDrivers returns the drivers for package fleet. Append ignores the stream,
-// as only epochs are appended.
+// fleetDrivers returns the drivers for package fleet.
 func (g *Gateway) fleetDrivers() fleet.Drivers {
-	return fleet.Drivers{
-		Append: func(ctx context.Context, _ identifier.StreamName, data []byte) (identifier.Offset, error) {
-			startedAt := g.Clock.Now()
-			defer func() { g.Meter.ObserveDuration(meter.TimingAppend, g.Clock.Since(startedAt)) }()
-			return g.drivers.AppendEpoch(ctx, data, g.EpochTracker.NextOffset())
-		},
-		Read:    g.readEpochs,
-		ReadVMs: g.readVMs,
-	}
+	return fleet.Drivers{AppendAt: g.appendEpoch, ReadVMs: g.readVMs}
 }
 
-// readEpochs reads the epochs and records where this daemon stands.
-func (g *Gateway) readEpochs(ctx context.Context, stream identifier.StreamName, from identifier.Offset, limit int, wait time.Duration) (appender.Batch, error) {
-	batch, err := g.drivers.ReadEpochs(ctx, stream, from, limit, wait)
-	if err == nil {
-		g.recordRead(topicEpochs, LogRead{From: from, Next: from + identifier.Offset(len(batch.Records)), End: batch.NextOffset}, batch.OldestOffset > from)
+// appendEpoch appends a proposal. After a failure this daemon reads the epochs, as the log
+// may end elsewhere than it expects.
+func (g *Gateway) appendEpoch(ctx context.Context, data []byte, at identifier.Position) (identifier.Position, error) {
+	startedAt := g.Clock.Now()
+	position, err := g.drivers.AppendEpoch(ctx, data, at)
+	g.Meter.ObserveDuration(meter.TimingAppend, g.Clock.Since(startedAt))
+	if err != nil {
+		g.isEpochReadDue.Store(true)
 	}
-	return batch, err
+	return position, err
 }
 
 // waitUntilReadDue waits until this daemon has to read the log: because it is one of the
 // hubs that read for the others, or because what the hubs relay is too old.
 func (g *Gateway) waitUntilReadDue(ctx context.Context) {
-	for ctx.Err() == nil && g.isRelayedVersionRecent() {
+	for ctx.Err() == nil && g.isRelayedVersionRecent() && !g.isEpochReadDue.Load() {
 		repeater.Sleep(ctx, g.Clock, readDuePollInterval)
 	}
 }
@@ -99,18 +93,19 @@
 	if g.hearsHub() {
 		g.waitUntilReadDue(ctx)
 	}
+	g.isEpochReadDue.Store(false)
 }
 
 // followVersions reads and applies the configuration until the context ends.
 func (g *Gateway) followVersions(ctx context.Context) error {
 	log := logger.For(g.Log, logger.Config)
-	next := identifier.NoOffset
+	next := identifier.NoPosition
 	var retries backoff
 	wait := versionReadWait
 	for ctx.Err() == nil {
 		g.waitUntilVersionReadDue(ctx)
 		requestedAt := g.Clock.Now()
-		isSnapshot := next == identifier.NoOffset
+		isSnapshot := next == identifier.NoPosition
 		batch, err := g.drivers.ReadVersions(ctx, next, wait)
 		if err != nil {
 			g.Meter.CountRetry(meter.RetryLogRead)
@@ -124,15 +119,15 @@
 		if g.isStoreDown.Swap(false) {
 			log.Info("The store is back.", "version", g.Follower.Version().Number)
 		}
-		g.recordRead(topicVersions, LogRead{From: next, Next: batch.NextOffset, End: batch.EndOffset}, batch.Truncated)
-		isStuck := !batch.ReachedEnd && batch.NextOffset == next
-		next = batch.NextOffset
+		g.recordRead(topicVersions, LogRead{From: next, Next: batch.NextPosition, End: batch.EndPosition}, batch.Truncated)
+		isStuck := !batch.ReachedEnd && batch.NextPosition == next
+		next = batch.NextPosition
 		if batch.Truncated {
-			next = identifier.NoOffset
+			next = identifier.NoPosition
 			continue
 		}
 		if isStuck {
-			log.Debug("A read returned none of the records that follow.", "offset", next)
+			log.Debug("A read returned none of the records that follow.", "position", next)
 			repeater.Sleep(ctx, g.Clock, retryDelay)
 			continue
 		}
@@ -174,25 +169,63 @@
 	logger.For(g.Log, logger.Config).Info("A version is in force.", "version", version.Number, "routes", len(version.Routes), "workspaces", len(version.Workspaces))
 }
 
-// followEpochs reads and applies the epochs until the context ends. If records were
-// deleted unread, it continues with the newest epoch.
+// followEpochs reads and applies the epochs until the context ends.
 func (g *Gateway) followEpochs(ctx context.Context) error {
-	t := g.EpochTailer()
-	t.WaitUntilDue = g.waitUntilEpochReadDue
-	t.OnTruncated = func(ctx context.Context, _ identifier.Offset) error {
-		data, offset, err := g.drivers.NewestEpoch(ctx)
-		if err != nil || data == nil {
-			return err
+	log := logger.For(g.Log, logger.Config)
+	var retries backoff
+	for ctx.Err() == nil {
+		g.waitUntilEpochReadDue(ctx)
+		err := g.readNextEpochs(ctx, log)
+		if err != nil {
+			g.Meter.CountRetry(meter.RetryLogRead)
+			log.Debug("Cannot read the epochs.", "err", err)
+			g.pauseAfterFailure(ctx, &retries)
+			continue
 		}
-		var proposal epochtracker.Proposal
-		err = json.Unmarshal(data, &proposal)
+		retries = backoff{}
+	}
+	return ctx.Err()
+}
+
+// readNextEpochs reads and applies the epochs that follow. If the log has not all of them, it
+// continues with the newest.
+func (g *Gateway) readNextEpochs(ctx context.Context, log *slog.Logger) error {
+	from := g.EpochTracker.NextPosition()
+	requestedAt := g.Clock.Now()
+	batch, err := g.drivers.ReadEpochs(ctx, from, epochReadWait)
+	if err != nil {
+		return err
+	}
+	g.recordRead(topicEpochs, LogRead{From: from, Next: batch.NextPosition, End: batch.EndPosition}, batch.Truncated)
+	if batch.Truncated {
+		return g.restartEpochs(ctx)
+	}
+	for _, record := range batch.Records {
+		err := g.EpochTracker.Handle(record)
 		if err != nil {
-			return err
+			log.Debug("An epoch record was ignored.", "err", err)
 		}
-		g.EpochTracker.Install(epochtracker.Epoch{Number: offset, BasedOn: proposal.BasedOn, Members: proposal.Members, MustAwaitStaleness: proposal.MustAwaitStaleness})
-		return nil
 	}
-	return t.Run(ctx)
+	g.EpochTracker.Advance(batch.NextPosition)
+	if batch.ReachedEnd {
+		g.Confirmer.RecordLogRead(appender.StreamEpochs, requestedAt)
+	}
+	return nil
+}
+
+// restartEpochs continues with the newest epoch.
+func (g *Gateway) restartEpochs(ctx context.Context) error {
+	requestedAt := g.Clock.Now()
+	newest, next, err := g.drivers.NewestEpoch(ctx)
+	if err != nil {
+		return err
+	}
+	err = g.EpochTracker.Restart(newest, next)
+	if err != nil {
+		return err
+	}
+	g.Confirmer.RecordLogRead(appender.StreamEpochs, requestedAt)
+	return nil
 }
 
 // followUpstreams reads and applies the list of upstreams until the context ends.
@@ -200,7 +233,7 @@
 // too old, and goes on where the relayed list ends.
 func (g *Gateway) followUpstreams(ctx context.Context) error {
 	log := logger.For(g.Log, logger.Upstream)
-	next, isFullReadDue := identifier.NoOffset, false
+	next, isFullReadDue := identifier.NoPosition, false
 	var retries backoff
 	g.requestList(ctx)
 	for ctx.Err() == nil {
@@ -209,7 +242,7 @@
 			continue
 		}
 		if !isFullReadDue {
-			next = max(next, g.registrar.NextOffset())
+			next = max(next, g.registrar.NextPosition())
 		}
 		isFullReadDue = false
 		requestedAt := g.Clock.Now()
@@ -221,12 +254,12 @@
 			continue
 		}
 		retries = backoff{}
-		g.recordRead(topicUpstreams, LogRead{From: next, Next: batch.NextOffset, End: batch.EndOffset}, batch.Truncated)
-		isFullRead := next == identifier.NoOffset
-		hasProgressed := batch.NextOffset > next
-		next = batch.NextOffset
+		g.recordRead(topicUpstreams, LogRead{From: next, Next: batch.NextPosition, End: batch.EndPosition}, batch.Truncated)
+		isFullRead := next == identifier.NoPosition
+		hasProgressed := batch.NextPosition > next
+		next = batch.NextPosition
 		if batch.Truncated {
-			next = identifier.NoOffset
+			next = identifier.NoPosition
 			isFullReadDue = true
 			continue
 		}
@@ -241,7 +274,7 @@
 // updateOf returns a batch of changes as an update of the registrar, a snapshot after a
 // full read. An upstream whose record cannot be parsed is removed.
 func (g *Gateway) updateOf(log *slog.Logger, batch UpstreamBatch, isFullRead bool) registrar.Update {
-	update := registrar.Update{NextOffset: batch.NextOffset, IsSnapshot: isFullRead}
+	update := registrar.Update{NextPosition: batch.NextPosition, IsSnapshot: isFullRead}
 	if !batch.ReachedEnd {
 		update.Age = g.registrar.Age()
 	}
@@ -254,7 +287,7 @@
 			log.Warn("A field of an upstream record is out of range.", "name", change.Name, "err", change.Warning)
 		}
 		if change.Deleted || change.ParseError != nil {
-			update.Removed = append(update.Removed, registrar.Removal{Name: change.Name, Offset: change.Offset})
+			update.Removed = append(update.Removed, registrar.Removal{Name: change.Name, Position: change.Position})
 			continue
 		}
 		update.Entries = append(update.Entries, change.Entry)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -127,6 +127,9 @@
 	heartbeatCount atomic.Int64
 	// isStoreDown is set if the last read of the configuration failed.
 	isStoreDown atomic.Bool
+	// isEpochReadDue is set if this daemon has to read the epochs although the hubs relay
+	// them.
+	isEpochReadDue atomic.Bool
 	// zoneSums are the sums that this daemon relays as a hub.
 	zoneSums atomic.Pointer[zoneSums]
 	// upstreamsChanged wakes distributeUpstreams.
--- a/process/gateway/hubs.go
+++ b/process/gateway/hubs.go
@@ -126,7 +126,7 @@
 		AcceptsRosterChanges: true,
 		WantsLeavingOnly:     g.wantsLeavingOnly(hub),
 		Upstreams:            g.upstreamsMark(to),
-		Evacuations:          g.evacuator.NextOffset(),
+		Evacuations:          g.evacuator.NextPosition(),
 	}
 	g.addLimitAccounts(heartbeat, to)
 }
--- a/process/gateway/lists.go
+++ b/process/gateway/lists.go
@@ -58,7 +58,7 @@
 	listRetryDelay = 50 * time.Millisecond
 	// noListWanted is the mark of a daemon that wants no update of the list. It is higher
 	// than any offset, so that no daemon has anything to send.
-	noListWanted = identifier.Offset(math.MaxInt64)
+	noListWanted = identifier.Position(math.MaxInt64)
 )
 
 // listExchange tracks the whole lists of upstreams that this daemon sends and requests.
@@ -126,9 +126,9 @@
 
 // upstreamsMark returns the offset up to which this daemon knows the upstreams, for a
 // heartbeat to a peer. As long as it knows none, it requests the list from one peer only.
-func (g *Gateway) upstreamsMark(to identifier.Address) identifier.Offset {
-	known := g.registrar.NextOffset()
-	if known == identifier.NoOffset && !g.lists.isProvider(to) {
+func (g *Gateway) upstreamsMark(to identifier.Address) identifier.Position {
+	known := g.registrar.NextPosition()
+	if known == identifier.NoPosition && !g.lists.isProvider(to) {
 		return noListWanted
 	}
 	return known
@@ -137,7 +137,7 @@
 // relayWithinBudget returns a relay of the given roster update and of the changes of the
 // list of upstreams from an offset on. It leaves out what is large while too much of that
 // is being sent.
-func (g *Gateway) relayWithinBudget(roster *heartbeater.RosterUpdate, upstreams identifier.Offset) *heartbeater.Relay {
+func (g *Gateway) relayWithinBudget(roster *heartbeater.RosterUpdate, upstreams identifier.Position) *heartbeater.Relay {
 	relay := &heartbeater.Relay{Roster: roster}
 	listEntries, rosterEntries := 0, 0
 	if g.registrar.NeedsSnapshot(upstreams) {
--- a/process/gateway/lists_test.go
+++ b/process/gateway/lists_test.go
@@ -24,7 +24,7 @@
 	g.registrar = registrar.New(clock)
 	g.lists = newListExchange(clock)
 	if count > 0 {
-		update := registrar.Update{NextOffset: 10, IsSnapshot: true}
+		update := registrar.Update{NextPosition: 10, IsSnapshot: true}
 		for i := range count {
 			update.Entries = append(update.Entries, registrar.Entry{Name: identifier.UpstreamName(fmt.Sprint("u-", i)), Address: identifier.Address(fmt.Sprint(i)), Service: "s", State: registrar.StateReady})
 		}
@@ -41,18 +41,18 @@
 	g := newListing(clock, 3000)
 	var sending []*heartbeater.Relay
 	for range 300 {
-		relay := g.relayWithinBudget(nil, identifier.NoOffset)
+		relay := g.relayWithinBudget(nil, identifier.NoPosition)
 		if relay.Upstreams != nil {
 			sending = append(sending, relay)
 		}
 	}
 	is.Equal(len(sending), maxListsInSending)
 	sending[0].OnSent()
-	is.True(g.relayWithinBudget(nil, identifier.NoOffset).Upstreams != nil)   // one was sent
-	is.True(g.relayWithinBudget(nil, identifier.NoOffset).Upstreams == nil)   // but only one
-	is.True(g.relayWithinBudget(nil, g.registrar.NextOffset()).OnSent == nil) // changes are not limited
+	is.True(g.relayWithinBudget(nil, identifier.NoPosition).Upstreams != nil)   // one was sent
+	is.True(g.relayWithinBudget(nil, identifier.NoPosition).Upstreams == nil)   // but only one
+	is.True(g.relayWithinBudget(nil, g.registrar.NextPosition()).OnSent == nil) // changes are not limited
 	clock.Advance(listSendTimeout + time.Millisecond)
-	is.True(g.relayWithinBudget(nil, identifier.NoOffset).Upstreams != nil) // the receivers have given up
+	is.True(g.relayWithinBudget(nil, identifier.NoPosition).Upstreams != nil) // the receivers have given up
 }
 
 // TestListsTakeABoundedPartOfTheLink guards against a link of 10 Mbit/s on which so many
@@ -66,7 +66,7 @@
 	sentBytes, sentRosters := 0, 0
 	for range seconds * 100 {
 		clock.Advance(10 * time.Millisecond)
-		relay := g.relayWithinBudget(nil, identifier.NoOffset)
+		relay := g.relayWithinBudget(nil, identifier.NoPosition)
 		if relay.OnSent != nil {
 			sentBytes += 3000 * listEntryBytes
 			relay.OnSent()
@@ -137,7 +137,7 @@
 	g.requestList(ctx)
 	is.Equal(asked, 1)
 	is.Equal(len(g.registrar.Ready("s")), 20)
-	is.Equal(g.upstreamsMark("h2"), identifier.Offset(10)) // from now on all peers send changes
+	is.Equal(g.upstreamsMark("h2"), identifier.Position(10)) // from now on all peers send changes
 }
 
 // TestStartingDaemonReadsTheStoreIfNoPeerHasTheList guards against a start that waits for
--- a/process/gateway/logreads.go
+++ b/process/gateway/logreads.go
@@ -23,11 +23,11 @@
 // LogRead describes the last successful read of a topic.
 type LogRead struct {
 	// From is the offset that was read from, and Next the one to read next.
-	From identifier.Offset `json:"from"`
-	Next identifier.Offset `json:"next"`
+	From identifier.Position `json:"from"`
+	Next identifier.Position `json:"next"`
 	// End is the offset after the newest record, as the log stated it.
-	End   identifier.Offset `json:"end"`
-	AgeMs int64             `json:"age-ms"`
+	End   identifier.Position `json:"end"`
+	AgeMs int64               `json:"age-ms"`
 	at    time.Time
 }
 
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -242,7 +242,7 @@
 	State     heartbeater.State                          `json:"state"`
 	Current   bool                                       `json:"current"`
 	Version   identifier.Offset                          `json:"version"`
-	Epoch     identifier.Offset                          `json:"epoch"`
+	Epoch     identifier.Position                        `json:"epoch"`
 	Peers     []heartbeater.Peer                         `json:"members"`
 	Shares    []limiter.BucketState                      `json:"shares"`
 	Accounts  []accountant.State                         `json:"accounts,omitempty"`
--- a/process/gateway/readers_test.go
+++ b/process/gateway/readers_test.go
@@ -91,8 +91,8 @@
 					rig.store.mu.Unlock()
 					time.Sleep(bound)
 					for _, daemon := range rig.reachable() {
-						is.True(knows(daemon, added.Name))                  // a change of the list is known within the bound
-						is.Equal(daemon.Follower.Version().Number, version) // and one of the configuration
+						is.True(knows(daemon, added.Name))                                     // a change of the list is known within the bound
+						is.Equal(daemon.Follower.Version().Number, identifier.Offset(version)) // and one of the configuration
 						is.True(daemon.Confirmer.IsCurrent())
 					}
 					time.Sleep(130 * time.Millisecond) // so that the changes fall into different phases of the reads
@@ -130,13 +130,13 @@
 	clock := clockwork.NewFakeClock()
 	g := newListing(clock, 20)
 	clock.Advance(maxRelayedUpstreamsAge)
-	g.registrar.Apply(registrar.Update{NextOffset: 500, Age: maxRelayedUpstreamsAge})
-	read := make(chan identifier.Offset)
-	g.drivers.ReadUpstreams = func(_ context.Context, from identifier.Offset, _ time.Duration) (UpstreamBatch, error) {
+	g.registrar.Apply(registrar.Update{NextPosition: 500, Age: maxRelayedUpstreamsAge})
+	read := make(chan identifier.Position)
+	g.drivers.ReadUpstreams = func(_ context.Context, from identifier.Position, _ time.Duration) (UpstreamBatch, error) {
 		read <- from
 		<-ctx.Done()
 		return UpstreamBatch{}, ctx.Err()
 	}
 	go func() { _ = g.followUpstreams(ctx) }()
-	is.Equal(<-read, identifier.Offset(500))
+	is.Equal(<-read, identifier.Position(500))
 }
--- a/process/gateway/tolerance_test.go
+++ b/process/gateway/tolerance_test.go
@@ -36,7 +36,7 @@
 }
 
 func newCutOffFleet(size int, account configurer.LimitAccount) *cutOffFleet {
-	f := &cutOffFleet{clock: clockwork.NewFakeClock(), epoch: epochtracker.Epoch{Number: identifier.NoOffset}}
+	f := &cutOffFleet{clock: clockwork.NewFakeClock(), epoch: epochtracker.Epoch{Number: identifier.NoPosition}}
 	for i := range size {
 		f.gateways = append(f.gateways, f.newGateway(fmt.Sprintf("vm%03d", i), account))
 	}
@@ -77,9 +77,10 @@
 		proposal.Members = append(proposal.Members, g.Identity.Self)
 	}
 	raw, _ := json.Marshal(proposal)
-	f.epoch, _ = epochtracker.Apply(f.epoch, f.epoch.Number+1, raw)
+	record := epochtracker.Record{Position: f.epoch.Number + 1, Data: raw}
+	f.epoch, _ = epochtracker.Apply(f.epoch, record)
 	for _, g := range f.gateways {
-		_ = g.EpochTracker.Handle(f.epoch.Number, raw)
+		_ = g.EpochTracker.Handle(record)
 		g.Limiter.ApplyBaseShares(f.epoch.Number)
 	}
 }
--- a/process/gateway/wire.go
+++ b/process/gateway/wire.go
@@ -71,7 +71,7 @@
 	g.registrar = registrar.New(deps.Clock)
 	g.registrar.OnChange = g.notifyUpstreamsChanged
 	g.registrar.OnLate = func(entry registrar.Entry, hold time.Duration) {
-		logger.For(deps.Log, logger.Upstream).Info("A record of an upstream was carried out late.", "upstream", entry.Name, "state", entry.State, "offset", entry.Offset, "withheld-for-ms", hold.Milliseconds())
+		logger.For(deps.Log, logger.Upstream).Info("A record of an upstream was carried out late.", "upstream", entry.Name, "state", entry.State, "offset", entry.Position, "withheld-for-ms", hold.Milliseconds())
 	}
 	g.registrar.OnDefer = func(name identifier.UpstreamName, hold time.Duration) {
 		logger.For(deps.Log, logger.Upstream).Info("The removal of an upstream is deferred, as the store was out of reach.", "upstream", name, "for-ms", hold.Milliseconds())
--- a/process/gateway/zones_test.go
+++ b/process/gateway/zones_test.go
@@ -33,9 +33,9 @@
 	g.wireColdstarter(g.Dependencies)
 	g.admitter = admitter.New(clock)
 	g.wireSpiller(g.Dependencies)
-	g.registrar.Apply(registrar.Update{IsSnapshot: true, NextOffset: 3, Entries: []registrar.Entry{
-		{Name: "home", Service: "s", Address: "10.0.0.1:1", Zone: "z", State: registrar.StateReady, Slots: 12, Offset: 1},
-		{Name: "away", Service: "s", Address: "10.0.0.2:1", Zone: "y", State: registrar.StateReady, Slots: 12, Offset: 2},
+	g.registrar.Apply(registrar.Update{IsSnapshot: true, NextPosition: 3, Entries: []registrar.Entry{
+		{Name: "home", Service: "s", Address: "10.0.0.1:1", Zone: "z", State: registrar.StateReady, Slots: 12, Position: 1},
+		{Name: "away", Service: "s", Address: "10.0.0.2:1", Zone: "y", State: registrar.StateReady, Slots: 12, Position: 2},
 	}})
 	g.Peers.RecordHeartbeat(heartbeater.Heartbeat{Incarnation: "hub", VM: "hub", Zone: "y", Peer: "hub", State: heartbeater.StateServing})
 	g.Peers.RecordResponse("hub", "hub", clock.Now())
@@ -140,6 +140,6 @@
 	clock := clockwork.NewFakeClock()
 	g := newSpillingDaemon(clock, configurer.SpillMeasured)
 	is.Equal(len(g.zoneCapacities("s")), 2)
-	g.evacuator.ApplyRelay(evacuator.Relay{NextOffset: 5, Evacuations: []evacuator.Evacuation{{Zone: "y", Offset: 4}}})
+	g.evacuator.ApplyRelay(evacuator.Relay{NextPosition: 5, Evacuations: []evacuator.Evacuation{{Zone: "y", Position: 4}}})
 	is.Equal(g.zoneCapacities("s"), map[identifier.ZoneName]spiller.Capacity{"z": {Slots: 12}})
 }
--- a/process/heartbeater/heartbeat.go
+++ b/process/heartbeater/heartbeat.go
@@ -40,7 +40,7 @@
 	Drained bool
 	// Version and Epoch are the log offsets of the daemon's version and epoch.
 	Version identifier.Offset
-	Epoch   identifier.Offset
+	Epoch   identifier.Position
 	// LogAge is the time since version and epoch were last confirmed to be the
 	// newest in the log, or confirmer.Never.
 	LogAge time.Duration
@@ -88,9 +88,9 @@
 	// are leaving, because it gets the others from other hubs.
 	WantsLeavingOnly bool
 	// Upstreams is the log offset up to which the list of upstreams is known.
-	Upstreams identifier.Offset
+	Upstreams identifier.Position
 	// Evacuations is the log offset up to which the evacuated zones are known.
-	Evacuations identifier.Offset
+	Evacuations identifier.Position
 }
 
 // Relay is the data that a hub forwards. Only hubs hear all daemons and always read
--- a/process/heartbeater/proof.go
+++ b/process/heartbeater/proof.go
@@ -106,7 +106,7 @@
 // within the given duration before now, in an epoch that is not newer than the given
 // one. Heartbeats that the member sent do not count: after a pause of this process,
 // those that waited in its sockets look as if they had just been sent.
-func (p *Peers) HasAnswered(member epochtracker.Member, epoch identifier.Offset, within time.Duration) bool {
+func (p *Peers) HasAnswered(member epochtracker.Member, epoch identifier.Position, within time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	response := p.responses[member.PeerAddress]
--- a/process/heartbeater/roster.go
+++ b/process/heartbeater/roster.go
@@ -214,7 +214,7 @@
 		State:       heartbeat.State,
 		Weight:      heartbeat.Weight,
 		Version:     identifier.NoOffset,
-		Epoch:       identifier.NoOffset,
+		Epoch:       identifier.NoPosition,
 	}
 	_, wasRemoved := own.departed[heartbeat.Incarnation]
 	wasLeaving := old.wasLeaving || old.heartbeat.State == StateLeaving || wasRemoved
--- a/process/leaser/leaser.go
+++ b/process/leaser/leaser.go
@@ -1,6 +1,6 @@
 // Package leaser acquires leases of duties, which are tasks that only one daemon
 // may perform at a time. A daemon claims a duty with a record that is appended to
-// the log only if the log has no newer record of that duty. The record's offset gives
+// the log only if the log has no newer record of that duty. The record's position gives
 // the fencing token, so that each later holder has a higher one.
 package leaser
 
@@ -26,10 +26,10 @@
 // NewestClaim is the newest claim of a duty.
 type NewestClaim struct {
 	// Data is the encoded Claim. It is nil if the duty was never claimed.
-	Data   []byte
-	Offset identifier.Offset
-	// NextOffset is the offset that the next record gets.
-	NextOffset identifier.Offset
+	Data     []byte
+	Position identifier.Position
+	// NextPosition is the position that the next record gets.
+	NextPosition identifier.Position
 }
 
 // Leaser acquires the leases of duties and remembers those of this daemon.
@@ -37,9 +37,9 @@
 	// OwnClaim is the claim that this daemon appends.
 	OwnClaim Claim
 	// ReadNewestClaim reads the newest claim of a duty. AppendClaim appends one and
-	// returns its offset; it fails if nextOffset is no longer the next offset.
+	// returns its position; it fails if nextPosition is no longer the next position.
 	ReadNewestClaim func(ctx context.Context, duty string) (NewestClaim, error)
-	AppendClaim     func(ctx context.Context, duty string, data []byte, nextOffset identifier.Offset) (identifier.Offset, error)
+	AppendClaim     func(ctx context.Context, duty string, data []byte, nextPosition identifier.Position) (identifier.Position, error)
 	// HandoverWait returns how long a new holder waits before it acts. Everything
 	// that the previous holder sent before it read the new claim must have arrived by
 	// then.
@@ -82,24 +82,24 @@
 		err = json.Unmarshal(newest.Data, &claim)
 		if err != nil {
 			// A claim that cannot be decoded has no holder. This daemon claims anew.
-			l.Log.Warn("A claim cannot be read.", "duty", duty, "offset", newest.Offset, "err", err)
+			l.Log.Warn("A claim cannot be read.", "duty", duty, "position", newest.Position, "err", err)
 		}
 	}
 	now := l.Clock.Now()
 	current, known := l.get(duty)
 	isOwn := claim == l.OwnClaim
 	switch {
-	case isOwn && known && current.token == tokenOf(newest.Offset) && !current.isFenced:
+	case isOwn && known && current.token == tokenOf(newest.Position) && !current.isFenced:
 	case isOwn && !current.isFenced:
 		// The claim was appended, but the response was lost.
-		current = lease{token: tokenOf(newest.Offset), usableFrom: now.Add(l.HandoverWait())}
+		current = lease{token: tokenOf(newest.Position), usableFrom: now.Add(l.HandoverWait())}
 	default:
 		usableFrom := now.Add(l.HandoverWait())
 		skipsWait := newest.Data == nil || (claim.Holder == l.OwnClaim.Holder && !current.isFenced)
 		if skipsWait {
 			usableFrom = now
 		}
-		current, err = l.appendOwnClaim(ctx, duty, newest.NextOffset, usableFrom)
+		current, err = l.appendOwnClaim(ctx, duty, newest.NextPosition, usableFrom)
 		if err != nil {
 			return 0, false, err
 		}
@@ -109,23 +109,23 @@
 	return current.token, !now.Before(current.usableFrom), nil
 }
 
-// appendOwnClaim appends this daemon's claim if nextOffset is still the next offset,
+// appendOwnClaim appends this daemon's claim if nextPosition is still the next position,
 // and returns the lease of it.
-func (l *Leaser) appendOwnClaim(ctx context.Context, duty string, nextOffset identifier.Offset, usableFrom time.Time) (claimed lease, err error) {
+func (l *Leaser) appendOwnClaim(ctx context.Context, duty string, nextPosition identifier.Position, usableFrom time.Time) (claimed lease, err error) {
 	data, err := json.Marshal(l.OwnClaim)
 	if err != nil {
 		return claimed, err
 	}
-	offset, err := l.AppendClaim(ctx, duty, data, nextOffset)
+	position, err := l.AppendClaim(ctx, duty, data, nextPosition)
 	if err != nil {
 		return claimed, err
 	}
-	return lease{token: tokenOf(offset), usableFrom: usableFrom}, nil
+	return lease{token: tokenOf(position), usableFrom: usableFrom}, nil
 }
 
-// tokenOf returns the fencing token of the claim at an offset. Zero means no token.
-func tokenOf(offset identifier.Offset) identifier.FencingToken {
-	return identifier.FencingToken(offset) + 1
+// tokenOf returns the fencing token of the claim at an position. Zero means no token.
+func tokenOf(position identifier.Position) identifier.FencingToken {
+	return identifier.FencingToken(position) + 1
 }
 
 // MarkFenced records that this daemon's token was rejected because a higher one was
--- a/process/leaser/leaser_test.go
+++ b/process/leaser/leaser_test.go
@@ -33,22 +33,22 @@
 	if c.isDown {
 		return NewestClaim{}, errLog
 	}
-	end := identifier.Offset(len(c.claims))
+	end := identifier.Position(len(c.claims))
 	if end == 0 {
 		return NewestClaim{}, nil
 	}
-	return NewestClaim{Data: c.claims[end-1], Offset: end - 1, NextOffset: end}, nil
+	return NewestClaim{Data: c.claims[end-1], Position: end - 1, NextPosition: end}, nil
 }
 
-func (c *claimLog) append(_ context.Context, _ string, data []byte, nextOffset identifier.Offset) (identifier.Offset, error) {
-	if nextOffset != identifier.Offset(len(c.claims)) {
+func (c *claimLog) append(_ context.Context, _ string, data []byte, nextPosition identifier.Position) (identifier.Position, error) {
+	if nextPosition != identifier.Position(len(c.claims)) {
 		return 0, errors.New("newer records")
 	}
 	c.claims = append(c.claims, data)
 	if c.dropsResponses {
 		return 0, errLog
 	}
-	return nextOffset, nil
+	return nextPosition, nil
 }
 
 func newLeaser(c *claimLog, clock clockwork.Clock, vm, incarnation string) *Leaser {
--- a/process/proposer/proposer.go
+++ b/process/proposer/proposer.go
@@ -58,6 +58,9 @@
 	IsCurrent func() bool
 	// Append appends a proposal to a stream of the log and returns its offset.
 	Append func(ctx context.Context, stream identifier.StreamName, data []byte) (identifier.Offset, error)
+	// AppendAt replaces Append for a log that appends on a condition, unless it is nil. It
+	// appends a proposal if the log still ends at a position.
+	AppendAt func(ctx context.Context, data []byte, at identifier.Position) (identifier.Position, error)
 	// OnRemoved is called when an epoch removes this daemon although it wants to hold
 	// shares, unless Rejoins is set.
 	OnRemoved func()
@@ -101,7 +104,7 @@
 	wasMember bool
 	// enteredAt is when this daemon was first seen to have entered enteredEpoch.
 	enteredAt    time.Time
-	enteredEpoch identifier.Offset
+	enteredEpoch identifier.Position
 }
 
 // Run calls Step periodically until the context ends.
@@ -369,12 +372,21 @@
 	}
 	// If this epoch still waits for stale members, the next one must wait too.
 	proposal.MustAwaitStaleness = proposal.MustAwaitStaleness || (epoch.MustAwaitStaleness && !p.Limiter.HasBaseShares())
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	return p.append(ctx, proposal)
+}
+
+// append appends a proposal, on a condition where the log knows conditions.
+func (p *Proposer) append(ctx context.Context, proposal epochtracker.Proposal) error {
 	data, err := json.Marshal(proposal)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
+	if p.AppendAt != nil {
+		_, err = p.AppendAt(ctx, data, p.EpochTracker.NextPosition())
+		return err
+	}
 	_, err = p.Append(ctx, appender.StreamEpochs, data)
 	return err
 }
--- a/process/proposer/proposer_test.go
+++ b/process/proposer/proposer_test.go
@@ -34,12 +34,12 @@
 func newTestProposer(self string, members ...string) *testProposer {
 	p := &testProposer{clock: clockwork.NewFakeClock()}
 	epochs := epochtracker.New()
-	proposal := epochtracker.Proposal{BasedOn: identifier.NoOffset}
+	proposal := epochtracker.Proposal{BasedOn: identifier.NoPosition}
 	for _, name := range members {
 		proposal.Members = append(proposal.Members, member(name))
 	}
 	raw, _ := json.Marshal(proposal)
-	_ = epochs.Handle(0, raw)
+	_ = epochs.Handle(epochtracker.Record{Position: 0, Data: raw})
 	l := limiter.New(p.clock, asserter.New(logger.Discard(), meter.NewNoop(), true))
 	p.Proposer = &Proposer{
 		Self:                   member(self),
@@ -135,7 +135,7 @@
 	p.Rejoins = true
 	p.run(time.Second, "c", "d")
 	raw, _ := json.Marshal(epochtracker.Proposal{BasedOn: 0, Members: []epochtracker.Member{member("c"), member("d")}})
-	is.NoErr(p.EpochTracker.Handle(1, raw))
+	is.NoErr(p.EpochTracker.Handle(epochtracker.Record{Position: 1, Data: raw}))
 	p.run(12 * time.Second)
 	is.Equal(len(p.proposed), 0)
 }
--- a/process/rebalancer/rebalancer_test.go
+++ b/process/rebalancer/rebalancer_test.go
@@ -91,17 +91,17 @@
 }
 
 func (c *claimStore) readNewest(context.Context, string) (newest leaser.NewestClaim, err error) {
-	newest.NextOffset = identifier.Offset(len(c.claims))
-	if newest.NextOffset > 0 {
-		newest.Data = c.claims[newest.NextOffset-1]
-		newest.Offset = newest.NextOffset - 1
+	newest.NextPosition = identifier.Position(len(c.claims))
+	if newest.NextPosition > 0 {
+		newest.Data = c.claims[newest.NextPosition-1]
+		newest.Position = newest.NextPosition - 1
 	}
 	return newest, nil
 }
 
-func (c *claimStore) append(_ context.Context, _ string, data []byte, nextOffset identifier.Offset) (identifier.Offset, error) {
+func (c *claimStore) append(_ context.Context, _ string, data []byte, nextPosition identifier.Position) (identifier.Position, error) {
 	c.claims = append(c.claims, data)
-	return nextOffset, nil
+	return nextPosition, nil
 }
 
 // newRebalancer returns a rebalancer whose service has one prefill engine too many.
--- a/process/registrar/entry.go
+++ b/process/registrar/entry.go
@@ -33,8 +33,8 @@
 	// Sequence rises with each record of the process. It is zero if unknown, and in the
 	// entries of the list.
 	Sequence int64 `json:"-"`
-	// Offset is the offset of the entry's record in the store.
-	Offset identifier.Offset
+	// Position is the position of the entry's record in the store.
+	Position identifier.Position
 	// ColdLeft is how long the upstream is still cold, in an entry that was just read or
 	// in an update. ColdUntil is the end of that time, in an entry of the list.
 	ColdLeft  time.Duration `json:"-"`
--- a/process/registrar/index.go
+++ b/process/registrar/index.go
@@ -8,10 +8,10 @@
 	"sassafraspass.dev/sassafraspass/identifier"
 )
 
-// changedSince returns the entries that changed at an offset or later, or all of them. It
+// changedSince returns the entries that changed at an position or later, or all of them. It
 // looks at the entries only if one may have changed, as each heartbeat asks for the
 // changes. The caller holds the lock.
-func (r *Registrar) changedSince(from identifier.Offset, isSnapshot bool) (changed []Entry) {
+func (r *Registrar) changedSince(from identifier.Position, isSnapshot bool) (changed []Entry) {
 	if isSnapshot {
 		return slices.Collect(maps.Values(r.entries))
 	}
@@ -19,33 +19,33 @@
 		return nil
 	}
 	for name, entry := range r.entries {
-		if r.changeOffsets[name] >= from {
+		if r.changePositions[name] >= from {
 			changed = append(changed, entry)
 		}
 	}
 	return changed
 }
 
-// removedSince returns the removals at an offset or later and those that every update
+// removedSince returns the removals at an position or later and those that every update
 // holds. The caller holds the lock.
-func (r *Registrar) removedSince(from identifier.Offset) (removed []Removal) {
+func (r *Registrar) removedSince(from identifier.Position) (removed []Removal) {
 	now := r.clock.Now()
 	if r.newestRemoval < from && !now.Before(r.relayRemovalsUntil) {
 		return nil
 	}
 	for name, candidate := range r.removals {
-		if candidate.offset >= from || now.Before(candidate.relayedUntil) {
-			removed = append(removed, Removal{Name: name, Offset: candidate.offset})
+		if candidate.position >= from || now.Before(candidate.relayedUntil) {
+			removed = append(removed, Removal{Name: name, Position: candidate.position})
 		}
 	}
 	return removed
 }
 
 // NeedsSnapshot reports whether UpdateSince would return a snapshot.
-func (r *Registrar) NeedsSnapshot(from identifier.Offset) bool {
+func (r *Registrar) NeedsSnapshot(from identifier.Position) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.isComplete && r.nextOffset >= from && from < r.deltaStart
+	return r.isComplete && r.nextPosition >= from && from < r.deltaStart
 }
 
 // Count returns the number of upstreams.
@@ -83,11 +83,11 @@
 	for name, entry := range r.entries {
 		deferred, isDeferred := r.deferredRemovals[name]
 		if isDeferred && now.After(deferred.until) {
-			r.remove(name, removal{offset: deferred.offset, relayedUntil: now.Add(lateRemovalRelay)})
+			r.remove(name, removal{position: deferred.position, relayedUntil: now.Add(lateRemovalRelay)})
 			continue
 		}
-		staleOffset, isStale := r.staleEntries[name]
-		if entry.State != StateReady || (isStale && entry.Offset <= staleOffset) {
+		stalePosition, isStale := r.staleEntries[name]
+		if entry.State != StateReady || (isStale && entry.Position <= stalePosition) {
 			continue
 		}
 		ready[entry.Service] = append(ready[entry.Service], entry)
--- a/process/registrar/late.go
+++ b/process/registrar/late.go
@@ -101,7 +101,7 @@
 		}
 		delete(r.withheld, name)
 		removed, isRemoved := r.removals[name]
-		if !isRemoved || removed.offset < late.entry.Offset {
+		if !isRemoved || removed.position < late.entry.Position {
 			r.accept(late.entry)
 		}
 	}
--- a/process/registrar/late_test.go
+++ b/process/registrar/late_test.go
@@ -19,8 +19,8 @@
 )
 
 // record returns the record of a process of the upstream a.
-func record(startedAt time.Time, state State, sequence, offset int64) Entry {
-	e := entry("a", "1", offset)
+func record(startedAt time.Time, state State, sequence, position int64) Entry {
+	e := entry("a", "1", position)
 	e.StartedAt, e.State, e.Sequence = startedAt, state, sequence
 	return e
 }
@@ -32,7 +32,7 @@
 	tests := []struct {
 		name    string
 		records []Entry
-		// removedAt is the offset of a removal after the records, zero for none.
+		// removedAt is the position of a removal after the records, zero for none.
 		removedAt int64
 		late      Entry
 		isReady   bool
@@ -59,7 +59,7 @@
 				relay(r, peer)
 			}
 			if test.removedAt > 0 {
-				removeEntry(r, "a", test.late.Offset-1)
+				removeEntry(r, "a", test.late.Position-1)
 				relay(r, peer)
 			}
 			putEntries(r, test.late)
@@ -73,7 +73,7 @@
 }
 
 // relay sends what one daemon knows to another.
-func relay(from, to *Registrar) { to.Apply(*from.UpdateSince(to.NextOffset() - 1)) }
+func relay(from, to *Registrar) { to.Apply(*from.UpdateSince(to.NextPosition() - 1)) }
 
 func startOf(r *Registrar) (startedAt time.Time) {
 	for _, e := range r.All() {
@@ -118,7 +118,7 @@
 	is.Equal(len(told.Ready("s")), 1)
 	teller := newComplete(clock, record(firstStart, StateDraining, 2, 11))
 	putEntries(teller, late)
-	told.Apply(Update{NextOffset: 13, IsSnapshot: true, Entries: teller.UpdateSince(0).Entries})
+	told.Apply(Update{NextPosition: 13, IsSnapshot: true, Entries: teller.UpdateSince(0).Entries})
 	is.Equal(len(told.Ready("s")), 0)
 }
 
@@ -180,7 +180,7 @@
 			for i, w := range writes {
 				clock.Advance(w.at - now)
 				now = w.at
-				w.entry.Offset = identifier.Offset(11 + i)
+				w.entry.Position = identifier.Position(11 + i)
 				putEntries(r, w.entry)
 				relay(r, peer)
 				drained[w.entry.StartedAt] = drained[w.entry.StartedAt] || w.entry.State == StateDraining
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -56,16 +56,16 @@
 	// an entry has changed since.
 	ready map[identifier.ServiceName][]Entry
 	// staleEntries maps upstreams at whose address another upstream responded to
-	// the offset of the stale entry. An entry with a higher offset is used again.
-	staleEntries map[identifier.UpstreamName]identifier.Offset
+	// the position of the stale entry. An entry with a higher position is used again.
+	staleEntries map[identifier.UpstreamName]identifier.Position
 	// deferredRemovals holds the upstreams that were removed from the list just after
 	// an outage and stay in use for a while.
 	deferredRemovals map[identifier.UpstreamName]deferredRemoval
-	// changeOffsets holds the offset of the last record that changed an entry in
-	// more than its offset, or that brought it back during a deferred removal.
-	changeOffsets map[identifier.UpstreamName]identifier.Offset
-	// newestChange is the highest offset that was ever in changeOffsets.
-	newestChange identifier.Offset
+	// changePositions holds the position of the last record that changed an entry in
+	// more than its position, or that brought it back during a deferred removal.
+	changePositions map[identifier.UpstreamName]identifier.Position
+	// newestChange is the highest position that was ever in changePositions.
+	newestChange identifier.Position
 	removals     map[identifier.UpstreamName]removal
 	// heard holds the newest record of each upstream, also of those in removals, and
 	// withheld the records that seem to be older than it.
@@ -73,15 +73,15 @@
 	withheld map[identifier.UpstreamName]withheldEntry
 	// nextRelease is when the first of them is used, or earlier.
 	nextRelease time.Time
-	// newestRemoval and relayRemovalsUntil are the highest offset and relayedUntil that
+	// newestRemoval and relayRemovalsUntil are the highest position and relayedUntil that
 	// were ever in removals.
-	newestRemoval      identifier.Offset
+	newestRemoval      identifier.Position
 	relayRemovalsUntil time.Time
-	// nextOffset is the offset after the last record that was read. Updates since
-	// deltaStart or a later offset can list the changes alone; earlier ones need
+	// nextPosition is the position after the last record that was read. Updates since
+	// deltaStart or a later position can list the changes alone; earlier ones need
 	// a snapshot.
-	nextOffset identifier.Offset
-	deltaStart identifier.Offset
+	nextPosition identifier.Position
+	deltaStart   identifier.Position
 	// readAt is when the list was last read, here or by the daemon that sent an
 	// update.
 	readAt time.Time
@@ -96,15 +96,15 @@
 	completeSince time.Time
 }
 
-// deferredRemoval is a removal as of an offset that takes effect after until.
+// deferredRemoval is a removal as of an position that takes effect after until.
 type deferredRemoval struct {
-	offset identifier.Offset
-	until  time.Time
+	position identifier.Position
+	until    time.Time
 }
 
-// removal is a removal as of an offset. Every update holds it until relayedUntil.
+// removal is a removal as of an position. Every update holds it until relayedUntil.
 type removal struct {
-	offset       identifier.Offset
+	position     identifier.Position
 	relayedUntil time.Time
 }
 
@@ -117,34 +117,34 @@
 		clock:            clock,
 		entries:          make(map[identifier.UpstreamName]Entry),
 		namesAt:          make(map[identifier.Address][]identifier.UpstreamName),
-		staleEntries:     make(map[identifier.UpstreamName]identifier.Offset),
+		staleEntries:     make(map[identifier.UpstreamName]identifier.Position),
 		deferredRemovals: make(map[identifier.UpstreamName]deferredRemoval),
-		changeOffsets:    make(map[identifier.UpstreamName]identifier.Offset),
+		changePositions:  make(map[identifier.UpstreamName]identifier.Position),
 		removals:         make(map[identifier.UpstreamName]removal),
 		heard:            make(map[identifier.UpstreamName]heardRecord),
 		withheld:         make(map[identifier.UpstreamName]withheldEntry),
-		nextOffset:       identifier.NoOffset,
-		deltaStart:       identifier.NoOffset,
-		newestChange:     identifier.NoOffset,
-		newestRemoval:    identifier.NoOffset,
+		nextPosition:     identifier.NoPosition,
+		deltaStart:       identifier.NoPosition,
+		newestChange:     identifier.NoPosition,
+		newestRemoval:    identifier.NoPosition,
 	}
 }
 
-// NextOffset returns the offset after the last record that was read, or NoOffset
+// NextPosition returns the position after the last record that was read, or NoPosition
 // before the list was read completely.
-func (r *Registrar) NextOffset() identifier.Offset {
+func (r *Registrar) NextPosition() identifier.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.isComplete {
-		return identifier.NoOffset
+		return identifier.NoPosition
 	}
-	return r.nextOffset
+	return r.nextPosition
 }
 
-// Update brings a list up to NextOffset, with the changes or with a snapshot. The tags
+// Update brings a list up to NextPosition, with the changes or with a snapshot. The tags
 // keep the names that a gateway's /v1/status reports.
 type Update struct {
-	NextOffset identifier.Offset `json:"Upto"`
+	NextPosition identifier.Position `json:"Upto"`
 	// Age is the time since the list was read.
 	Age time.Duration
 	// IsSnapshot says that Entries holds the complete list.
@@ -153,22 +153,22 @@
 	Removed    []Removal `json:"Gone"`
 }
 
-// Removal is the removal of an upstream as of an offset.
+// Removal is the removal of an upstream as of an position.
 type Removal struct {
-	Name   identifier.UpstreamName
-	Offset identifier.Offset
+	Name     identifier.UpstreamName
+	Position identifier.Position
 }
 
-// UpdateSince returns the changes from an offset on, or a snapshot if they are no
+// UpdateSince returns the changes from an position on, or a snapshot if they are no
 // longer known. It returns nil if this daemon has not read the list completely, or
-// not up to that offset.
-func (r *Registrar) UpdateSince(from identifier.Offset) *Update {
+// not up to that position.
+func (r *Registrar) UpdateSince(from identifier.Position) *Update {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.isComplete || r.nextOffset < from {
+	if !r.isComplete || r.nextPosition < from {
 		return nil
 	}
-	update := &Update{NextOffset: r.nextOffset, Age: r.clock.Since(r.readAt), IsSnapshot: from < r.deltaStart}
+	update := &Update{NextPosition: r.nextPosition, Age: r.clock.Since(r.readAt), IsSnapshot: from < r.deltaStart}
 	update.Entries = r.changedSince(from, update.IsSnapshot)
 	for i := range update.Entries {
 		entry := &update.Entries[i]
@@ -180,15 +180,15 @@
 }
 
 // Apply applies what was read from the store, or an update from another daemon. The
-// changes and the offset that stands for them become visible together.
+// changes and the position that stands for them become visible together.
 func (r *Registrar) Apply(update Update) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	r.detectRecovery(update.Age, now)
-	// An update that ends before NextOffset holds nothing new, but may list upstreams
+	// An update that ends before NextPosition holds nothing new, but may list upstreams
 	// that have been removed since.
-	isOutdated := r.isComplete && update.NextOffset < r.nextOffset
+	isOutdated := r.isComplete && update.NextPosition < r.nextPosition
 	names := make(map[identifier.UpstreamName]bool, len(update.Entries))
 	for _, entry := range update.Entries {
 		names[entry.Name] = true
@@ -197,16 +197,16 @@
 		}
 	}
 	for _, removal := range update.Removed {
-		r.removeOrDefer(removal.Name, removal.Offset)
+		r.removeOrDefer(removal.Name, removal.Position)
 	}
 	if update.IsSnapshot {
-		r.retain(names, update.NextOffset)
+		r.retain(names, update.NextPosition)
 	}
 	at := now.Add(-update.Age)
 	if at.After(r.readAt) {
 		r.readAt = at
 	}
-	r.nextOffset = max(r.nextOffset, update.NextOffset)
+	r.nextPosition = max(r.nextPosition, update.NextPosition)
 	if update.IsSnapshot {
 		// The records before a snapshot, which may have removed an upstream and brought
 		// it back, are not known.
@@ -214,7 +214,7 @@
 			r.completeSince = now
 		}
 		r.isComplete = true
-		r.deltaStart = max(r.deltaStart, update.NextOffset)
+		r.deltaStart = max(r.deltaStart, update.NextPosition)
 	}
 }
 
@@ -288,11 +288,11 @@
 	old, known := r.entries[entry.Name]
 	removed, isRemoved := r.removals[entry.Name]
 	switch {
-	case isRemoved && removed.offset > entry.Offset:
-	case known && old.Offset > entry.Offset && isMissedDraining(entry, old):
-		entry.Offset = old.Offset
+	case isRemoved && removed.position > entry.Position:
+	case known && old.Position > entry.Position && isMissedDraining(entry, old):
+		entry.Position = old.Position
 		r.accept(entry)
-	case known && old.Offset > entry.Offset, r.withhold(entry):
+	case known && old.Position > entry.Position, r.withhold(entry):
 	default:
 		r.accept(entry)
 	}
@@ -304,14 +304,14 @@
 	r.recordHeard(entry)
 	entry.Sequence = 0
 	old, known := r.entries[entry.Name]
-	if known && old.Offset == entry.Offset {
+	if known && old.Position == entry.Position {
 		// A repeat of the same record, relayed later, must not extend the cold time.
 		entry.ColdUntil = old.ColdUntil
 	}
 	delete(r.removals, entry.Name)
 	r.removeOthersAt(entry)
 	deferred, isDeferred := r.deferredRemovals[entry.Name]
-	isBack := isDeferred && deferred.offset < entry.Offset
+	isBack := isDeferred && deferred.position < entry.Position
 	if isBack {
 		delete(r.deferredRemovals, entry.Name)
 	}
@@ -321,10 +321,10 @@
 	}
 	r.ready = nil
 	r.entries[entry.Name] = entry
-	old.Offset = entry.Offset
+	old.Position = entry.Position
 	if old != entry || isBack {
-		r.changeOffsets[entry.Name] = entry.Offset
-		r.newestChange = max(r.newestChange, entry.Offset)
+		r.changePositions[entry.Name] = entry.Position
+		r.newestChange = max(r.newestChange, entry.Position)
 		r.OnChange()
 	}
 }
@@ -336,23 +336,23 @@
 		other := r.entries[name]
 		// A record of an upstream that has left may be carried out late.
 		isLater := other.hasProcess() && other.StartedAt.After(entry.StartedAt)
-		if name != entry.Name && other.Offset < entry.Offset && !isLater {
-			r.remove(name, removal{offset: entry.Offset})
+		if name != entry.Name && other.Position < entry.Position && !isLater {
+			r.remove(name, removal{position: entry.Position})
 		}
 	}
 }
 
-// removeOrDefer removes an upstream as of an offset. It ignores a removal older than the
+// removeOrDefer removes an upstream as of an position. It ignores a removal older than the
 // known entry. Right after an outage a ready upstream stays in use until
 // recoveryGrace ends, as its entry may have expired only because of the outage. The
 // caller holds the lock.
-func (r *Registrar) removeOrDefer(name identifier.UpstreamName, offset identifier.Offset) {
+func (r *Registrar) removeOrDefer(name identifier.UpstreamName, position identifier.Position) {
 	late, isWithheld := r.withheld[name]
-	if isWithheld && late.entry.Offset <= offset {
+	if isWithheld && late.entry.Position <= position {
 		delete(r.withheld, name)
 	}
 	entry, known := r.entries[name]
-	if !known || entry.Offset > offset {
+	if !known || entry.Position > position {
 		return
 	}
 	now := r.clock.Now()
@@ -360,12 +360,12 @@
 	if entry.State == StateReady && !r.recoveredAt.IsZero() && sinceRecovery < recoveryGrace {
 		_, isDeferred := r.deferredRemovals[name]
 		if !isDeferred {
-			r.deferredRemovals[name] = deferredRemoval{offset: offset, until: r.recoveredAt.Add(recoveryGrace)}
+			r.deferredRemovals[name] = deferredRemoval{position: position, until: r.recoveredAt.Add(recoveryGrace)}
 			r.OnDefer(name, recoveryGrace-sinceRecovery)
 		}
 		return
 	}
-	r.remove(name, removal{offset: offset})
+	r.remove(name, removal{position: position})
 }
 
 // remove removes an upstream and remembers that for updates. The caller holds the lock.
@@ -374,9 +374,9 @@
 	r.ready = nil
 	delete(r.entries, name)
 	delete(r.deferredRemovals, name)
-	delete(r.changeOffsets, name)
+	delete(r.changePositions, name)
 	r.removals[name] = removed
-	r.newestRemoval = max(r.newestRemoval, removed.offset)
+	r.newestRemoval = max(r.newestRemoval, removed.position)
 	if removed.relayedUntil.After(r.relayRemovalsUntil) {
 		r.relayRemovalsUntil = removed.relayedUntil
 	}
@@ -385,17 +385,17 @@
 }
 
 // evictOldestRemoval forgets the oldest removal if more than maxRemoved are
-// remembered. Updates since that offset or an earlier one are snapshots from then
+// remembered. Updates since that position or an earlier one are snapshots from then
 // on.
 func (r *Registrar) evictOldestRemoval() {
 	if len(r.removals) <= maxRemoved {
 		return
 	}
-	oldest := identifier.Offset(math.MaxInt64)
+	oldest := identifier.Position(math.MaxInt64)
 	var name identifier.UpstreamName
 	for candidate, removed := range r.removals {
-		if removed.offset < oldest {
-			oldest = removed.offset
+		if removed.position < oldest {
+			oldest = removed.position
 			name = candidate
 		}
 	}
@@ -406,10 +406,10 @@
 
 // retain removes all upstreams but the given ones, after a complete read. The caller
 // holds the lock.
-func (r *Registrar) retain(names map[identifier.UpstreamName]bool, offset identifier.Offset) {
+func (r *Registrar) retain(names map[identifier.UpstreamName]bool, position identifier.Position) {
 	for name := range r.entries {
 		if !names[name] {
-			r.removeOrDefer(name, offset)
+			r.removeOrDefer(name, position)
 		}
 	}
 }
@@ -420,7 +420,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ready = nil
-	r.staleEntries[entry.Name] = entry.Offset
+	r.staleEntries[entry.Name] = entry.Position
 	r.OnChange()
 }
 
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -13,13 +13,13 @@
 	"sassafraspass.dev/sassafraspass/identifier"
 )
 
-func entry(name, address string, offset int64) Entry {
+func entry(name, address string, position int64) Entry {
 	return Entry{
-		Name:    identifier.UpstreamName(name),
-		Service: "s",
-		Address: identifier.Address(address),
-		State:   StateReady,
-		Offset:  identifier.Offset(offset),
+		Name:     identifier.UpstreamName(name),
+		Service:  "s",
+		Address:  identifier.Address(address),
+		State:    StateReady,
+		Position: identifier.Position(position),
 	}
 }
 
@@ -32,13 +32,13 @@
 
 func newComplete(clock clockwork.Clock, entries ...Entry) *Registrar {
 	r := New(clock)
-	r.Apply(Update{NextOffset: 10, IsSnapshot: true, Entries: entries})
+	r.Apply(Update{NextPosition: 10, IsSnapshot: true, Entries: entries})
 	return r
 }
 
 // putEntries applies entries whose last one was the newest record of the list.
 func putEntries(r *Registrar, entries ...Entry) {
-	r.Apply(Update{NextOffset: entries[len(entries)-1].Offset + 1, Entries: entries})
+	r.Apply(Update{NextPosition: entries[len(entries)-1].Position + 1, Entries: entries})
 }
 
 // passOutage lets the reads of all daemons fail for a while.
@@ -50,8 +50,8 @@
 }
 
 // removeEntry applies a removal that was the newest record of the list.
-func removeEntry(r *Registrar, name string, offset identifier.Offset) {
-	r.Apply(Update{NextOffset: offset + 1, Removed: []Removal{{identifier.UpstreamName(name), offset}}})
+func removeEntry(r *Registrar, name string, position identifier.Position) {
+	r.Apply(Update{NextPosition: position + 1, Removed: []Removal{{identifier.UpstreamName(name), position}}})
 }
 
 func TestUpstreamsThatDrainOrLeaveGetNoNewWork(t *testing.T) {
@@ -70,10 +70,10 @@
 	r := newComplete(clockwork.NewFakeClock(), entry("a", "1", 5))
 	draining := entry("a", "1", 4)
 	draining.State = StateDraining
-	r.Apply(Update{NextOffset: 11, Entries: []Entry{draining}, Removed: []Removal{{"a", 3}}})
+	r.Apply(Update{NextPosition: 11, Entries: []Entry{draining}, Removed: []Removal{{"a", 3}}})
 	is.Equal(names(r.Ready("s")), []string{"a"})
-	r.Apply(Update{NextOffset: 11, Removed: []Removal{{"a", 7}}})
-	r.Apply(Update{NextOffset: 11, Entries: []Entry{entry("a", "1", 6)}})
+	r.Apply(Update{NextPosition: 11, Removed: []Removal{{"a", 7}}})
+	r.Apply(Update{NextPosition: 11, Entries: []Entry{entry("a", "1", 6)}})
 	is.Equal(len(r.Ready("s")), 0)
 }
 
@@ -99,7 +99,7 @@
 	clock := clockwork.NewFakeClock()
 	r := newComplete(clock, entry("back", "1", 1), entry("gone", "2", 2))
 	passOutage(clock, r)
-	r.Apply(Update{NextOffset: 14, Removed: []Removal{{"back", 12}, {"gone", 13}}})
+	r.Apply(Update{NextPosition: 14, Removed: []Removal{{"back", 12}, {"gone", 13}}})
 	is.Equal(len(r.Ready("s")), 2)
 	clock.Advance(time.Second)
 	putEntries(r, entry("back", "1", 14))
@@ -121,17 +121,17 @@
 	clock := clockwork.NewFakeClock()
 	hub := newComplete(clock, entry("a", "1", 1), entry("b", "2", 2))
 	other := New(clock)
-	is.True(New(clock).UpdateSince(identifier.NoOffset) == nil) // the list is not read yet
-	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	is.True(New(clock).UpdateSince(identifier.NoPosition) == nil) // the list is not read yet
+	other.Apply(*hub.UpdateSince(other.NextPosition()))
 	is.Equal(names(other.Ready("s")), []string{"a", "b"})
 	is.True(other.IsComplete())
-	putEntries(hub, entry("a", "1", 15), entry("c", "3", 16)) // of a, only the offset differs
+	putEntries(hub, entry("a", "1", 15), entry("c", "3", 16)) // of a, only the position differs
 	removeEntry(hub, "b", 17)
-	update := hub.UpdateSince(other.NextOffset())
+	update := hub.UpdateSince(other.NextPosition())
 	is.Equal(names(update.Entries), []string{"c"})
 	other.Apply(*update)
 	is.Equal(names(other.Ready("s")), []string{"a", "c"})
-	is.Equal(other.NextOffset(), identifier.Offset(18))
+	is.Equal(other.NextPosition(), identifier.Position(18))
 }
 
 func TestAgesOfRelayedListsAddUp(t *testing.T) {
@@ -140,14 +140,14 @@
 	hub := newComplete(clock, entry("a", "1", 1))
 	clock.Advance(900 * time.Millisecond)
 	other := New(clock)
-	other.Apply(*hub.UpdateSince(identifier.NoOffset))
+	other.Apply(*hub.UpdateSince(identifier.NoPosition))
 	clock.Advance(100 * time.Millisecond)
 	is.Equal(other.Age(), time.Second)
 }
 
 // Guards against an upstream that a daemon never hears of: a heartbeat that is answered
-// while changes are applied must not name the offset after them.
-func TestOffsetIsVisibleOnlyWithItsChanges(t *testing.T) {
+// while changes are applied must not name the position after them.
+func TestPositionIsVisibleOnlyWithItsChanges(t *testing.T) {
 	is := is.New(t)
 	const updates, entriesPerUpdate = 60, 20
 	r := newComplete(clockwork.NewFakeClock())
@@ -157,8 +157,8 @@
 		for i := range updates {
 			var entries []Entry
 			for range entriesPerUpdate {
-				offset := int64(10 + i*entriesPerUpdate + len(entries))
-				entries = append(entries, entry(fmt.Sprint("u-", offset), fmt.Sprint(offset), offset))
+				position := int64(10 + i*entriesPerUpdate + len(entries))
+				entries = append(entries, entry(fmt.Sprint("u-", position), fmt.Sprint(position), position))
 			}
 			putEntries(r, entries...)
 		}
@@ -170,7 +170,7 @@
 		default:
 		}
 		update := r.UpdateSince(10)
-		is.Equal(len(update.Entries), int(update.NextOffset-10))
+		is.Equal(len(update.Entries), int(update.NextPosition-10))
 	}
 }
 
@@ -182,7 +182,7 @@
 	hub := newComplete(clock, entry("a", "1", 1))
 	other := newComplete(clock, entry("a", "1", 1))
 	putEntries(hub, entry("b", "2", 12))
-	delayed := hub.UpdateSince(other.NextOffset())
+	delayed := hub.UpdateSince(other.NextPosition())
 	removeEntry(other, "b", 14) // it has read the list itself
 	other.Apply(*delayed)
 	is.Equal(names(other.Ready("s")), []string{"a"})
@@ -195,21 +195,21 @@
 	clock := clockwork.NewFakeClock()
 	hub := newComplete(clock, entry("a", "1", 1), entry("b", "2", 2))
 	other := New(clock)
-	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	other.Apply(*hub.UpdateSince(other.NextPosition()))
 	passOutage(clock, hub, other)
 	removeEntry(hub, "b", 12)
-	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	other.Apply(*hub.UpdateSince(other.NextPosition()))
 	clock.Advance(recoveryGrace / 2)
 	putEntries(hub, entry("a", "1", 20))
-	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	other.Apply(*hub.UpdateSince(other.NextPosition()))
 	is.Equal(names(other.Ready("s")), []string{"a", "b"})
 	clock.Advance(recoveryGrace/2 + time.Millisecond)
 	is.Equal(names(hub.Ready("s")), []string{"a"})
-	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	other.Apply(*hub.UpdateSince(other.NextPosition()))
 	is.Equal(names(other.Ready("s")), []string{"a"})
 	// One that comes back later is used again.
 	putEntries(hub, entry("b", "2", 30))
-	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	other.Apply(*hub.UpdateSince(other.NextPosition()))
 	is.Equal(names(other.Ready("s")), []string{"a", "b"})
 }
 
@@ -223,9 +223,9 @@
 	other := newComplete(clock, entry("a", "1", 1))
 	passOutage(clock, hub, other)
 	removeEntry(other, "a", 12) // it has read the list itself
-	hub.Apply(Update{NextOffset: 15, Removed: []Removal{{"a", 12}}})
+	hub.Apply(Update{NextPosition: 15, Removed: []Removal{{"a", 12}}})
 	putEntries(hub, entry("a", "1", 15))
-	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	other.Apply(*hub.UpdateSince(other.NextPosition()))
 	clock.Advance(recoveryGrace + time.Millisecond)
 	is.Equal(names(hub.Ready("s")), []string{"a"})
 	is.Equal(names(other.Ready("s")), []string{"a"})
@@ -239,8 +239,8 @@
 	hub := newComplete(clock, entry("a", "1", 1))
 	other := newComplete(clock, entry("a", "1", 1))
 	removeEntry(other, "a", 12)
-	hub.Apply(Update{NextOffset: 20, IsSnapshot: true, Entries: []Entry{entry("a", "1", 15)}})
-	other.Apply(*hub.UpdateSince(other.NextOffset()))
+	hub.Apply(Update{NextPosition: 20, IsSnapshot: true, Entries: []Entry{entry("a", "1", 15)}})
+	other.Apply(*hub.UpdateSince(other.NextPosition()))
 	is.Equal(names(other.Ready("s")), []string{"a"})
 }
 
@@ -267,12 +267,12 @@
 		}, true},
 		{"a hub that cannot read the list", func(r *Registrar, clock *clockwork.FakeClock) {
 			clock.Advance(3 * time.Second)
-			r.Apply(Update{NextOffset: 10, Age: 3 * time.Second})
+			r.Apply(Update{NextPosition: 10, Age: 3 * time.Second})
 			clock.Advance(time.Second)
 		}, true},
 		{"outage before the last read", func(r *Registrar, clock *clockwork.FakeClock) {
 			passOutage(clock, r)
-			r.Apply(Update{NextOffset: 11})
+			r.Apply(Update{NextPosition: 11})
 			clock.Advance(3 * time.Second)
 		}, false},
 	}
@@ -300,7 +300,7 @@
 	clock.Advance(4 * time.Second)
 	other := New(clock)
 	for range 3 {
-		update := hub.UpdateSince(identifier.NoOffset)
+		update := hub.UpdateSince(identifier.NoPosition)
 		is.True(update.Entries[0].ColdLeft > 0)
 		other.Apply(*update)
 		is.Equal(other.All()[0].ColdUntil, coldUntil)
@@ -310,19 +310,19 @@
 		is.Equal(other.All()[0].ColdUntil, coldUntil)
 	}
 	clock.Advance(10 * time.Second)
-	is.Equal(hub.UpdateSince(identifier.NoOffset).Entries[0].ColdLeft, time.Duration(0))
+	is.Equal(hub.UpdateSince(identifier.NoPosition).Entries[0].ColdLeft, time.Duration(0))
 }
 
 // BenchmarkReportsOf3000Upstreams measures what a hub computes each time that all
 // upstreams of a large fleet have reported.
 func BenchmarkReportsOf3000Upstreams(b *testing.B) {
 	r := New(clockwork.NewRealClock())
-	offset := int64(1)
+	position := int64(1)
 	for b.Loop() {
 		entries := make([]Entry, 0, 3000)
 		for i := range 3000 {
-			entries = append(entries, entry(fmt.Sprint("u-", i), fmt.Sprint(i), offset))
-			offset++
+			entries = append(entries, entry(fmt.Sprint("u-", i), fmt.Sprint(i), position))
+			position++
 		}
 		putEntries(r, entries...)
 	}
@@ -336,14 +336,14 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	r := newComplete(clockwork.NewFakeClock())
 	want := make(map[identifier.UpstreamName]Entry)
-	for offset := int64(10); offset < 3000; offset++ {
+	for position := int64(10); position < 3000; position++ {
 		name, address := fmt.Sprint("u-", random.IntN(20)), fmt.Sprint(random.IntN(15))
 		if random.IntN(5) == 0 {
-			removeEntry(r, name, identifier.Offset(offset))
+			removeEntry(r, name, identifier.Position(position))
 			delete(want, identifier.UpstreamName(name))
 			continue
 		}
-		added := entry(name, address, offset)
+		added := entry(name, address, position)
 		putEntries(r, added)
 		maps.DeleteFunc(want, func(_ identifier.UpstreamName, other Entry) bool { return other.Address == added.Address })
 		want[added.Name] = added
--- a/process/server/follow.go
+++ b/process/server/follow.go
@@ -87,7 +87,7 @@
 		if err != nil {
 			return err
 		}
-		if s.EpochTracker.NextOffset() < first {
+		if identifier.Offset(s.EpochTracker.NextPosition()) < first {
 			return fmt.Errorf("the epochs before %d are gone and no snapshot covers them", first)
 		}
 		return nil
--- a/process/server/status.go
+++ b/process/server/status.go
@@ -31,7 +31,7 @@
 	// the log, as a duration string; empty if the log was never read.
 	LogAge  string                `json:"log-age,omitempty"`
 	Version identifier.Offset     `json:"version"`
-	Epoch   identifier.Offset     `json:"epoch"`
+	Epoch   identifier.Position   `json:"epoch"`
 	Peers   []PeerStatus          `json:"members"`
 	Shares  []limiter.BucketState `json:"shares"`
 	Engines []planner.Status      `json:"engines"`
@@ -68,7 +68,7 @@
 	Zone    identifier.ZoneName `json:"zone"`
 	State   heartbeater.State   `json:"state"`
 	Version identifier.Offset   `json:"version"`
-	Epoch   identifier.Offset   `json:"epoch"`
+	Epoch   identifier.Position `json:"epoch"`
 }
 
 // operatorHandler serves the status report and the metrics.
--- a/request/abstainer/abstainer_test.go
+++ b/request/abstainer/abstainer_test.go
@@ -32,7 +32,7 @@
 	a.Observe(old, Signal{IsLeaving: true})
 	is.Equal(learnt, 1)
 	is.True(!a.MayUse(old))
-	old.Offset = 99 // the list names it again, for example after the store was away
+	old.Position = 99 // the list names it again, for example after the store was away
 	is.True(!a.MayUse(old))
 	is.Equal(len(a.Staying([]registrar.Entry{old, newEntry("t", 1)})), 1)
 	clock.Advance(5 * time.Minute)
--- a/request/accountant/account.go
+++ b/request/accountant/account.go
@@ -93,14 +93,14 @@
 }
 
 // firstSum returns the lowest sum of an account in an epoch.
-func firstSum(epoch identifier.Offset) identifier.Tokens {
+func firstSum(epoch identifier.Position) identifier.Tokens {
 	return identifier.Tokens(epoch+1) << epochShift
 }
 
 // epochOf returns the epoch of an account's holder when it had a sum, or
-// identifier.NoOffset for an account that was never held.
-func epochOf(sum identifier.Tokens) identifier.Offset {
-	return identifier.Offset(sum>>epochShift) - 1
+// identifier.NoPosition for an account that was never held.
+func epochOf(sum identifier.Tokens) identifier.Position {
+	return identifier.Position(sum>>epochShift) - 1
 }
 
 // raise raises the sum to a value without counting more tokens.
--- a/request/accountant/accountant.go
+++ b/request/accountant/accountant.go
@@ -100,7 +100,7 @@
 	// confirmed holds the sums of the accounts that each member has confirmed.
 	confirmed map[identifier.Incarnation]map[identifier.WorkspaceName]identifier.Tokens
 	// entered holds the newest epoch in which each member has sent its copies.
-	entered map[identifier.Incarnation]identifier.Offset
+	entered map[identifier.Incarnation]identifier.Position
 	// drained holds the members that admit nothing more and have sent everything.
 	drained      map[identifier.Incarnation]bool
 	isClosed     bool
@@ -135,7 +135,7 @@
 		startedAt:     clock.Now(),
 		books:         make(map[identifier.WorkspaceName]*book),
 		confirmed:     make(map[identifier.Incarnation]map[identifier.WorkspaceName]identifier.Tokens),
-		entered:       make(map[identifier.Incarnation]identifier.Offset),
+		entered:       make(map[identifier.Incarnation]identifier.Position),
 		drained:       make(map[identifier.Incarnation]bool),
 		reservations:  make(map[Key]reservation),
 		changed:       make(chan struct{}),
--- a/request/accountant/fleet_test.go
+++ b/request/accountant/fleet_test.go
@@ -35,7 +35,7 @@
 	// entered is the number of epochs that the node knows.
 	entered  int
 	epoch    epochtracker.Epoch
-	peers    map[identifier.Incarnation]identifier.Offset
+	peers    map[identifier.Incarnation]identifier.Position
 	answers  map[identifier.Incarnation]time.Time
 	sentAt   time.Time
 	mustSend bool
@@ -112,7 +112,7 @@
 func (f *testFleet) start(vm, size int) {
 	f.number++
 	member := epochtracker.Member{Incarnation: identifier.Incarnation(fmt.Sprintf("i%d-%d", vm, f.number)), VM: identifier.VMName(fmt.Sprintf("vm%d", vm))}
-	n := &testNode{fleet: f, member: member, isAlive: true, peers: make(map[identifier.Incarnation]identifier.Offset), answers: make(map[identifier.Incarnation]time.Time), epoch: epochtracker.Epoch{Number: identifier.NoOffset}}
+	n := &testNode{fleet: f, member: member, isAlive: true, peers: make(map[identifier.Incarnation]identifier.Position), answers: make(map[identifier.Incarnation]time.Time), epoch: epochtracker.Epoch{Number: identifier.NoPosition}}
 	n.accountant = New(f.clock, member.Incarnation, testWindow, testLease)
 	n.accountant.HoldsLimit = func(identifier.WorkspaceName) bool { return n.holdsLimit() }
 	n.accountant.Configure(map[identifier.WorkspaceName]Bounds{"w": testBounds})
@@ -123,7 +123,7 @@
 
 // propose begins an epoch with the processes that now run on the given VMs.
 func (f *testFleet) propose(vms ...int) {
-	epoch := epochtracker.Epoch{Number: identifier.Offset(len(f.epochs)), BasedOn: identifier.Offset(len(f.epochs) - 1)}
+	epoch := epochtracker.Epoch{Number: identifier.Position(len(f.epochs)), BasedOn: identifier.Position(len(f.epochs) - 1)}
 	for _, vm := range vms {
 		epoch.Members = append(epoch.Members, f.nodes[vm].member)
 	}
--- a/request/accountant/holders_test.go
+++ b/request/accountant/holders_test.go
@@ -131,7 +131,7 @@
 	a := New(clock, "self", testWindow, testLease)
 	a.HoldsLimit = func(identifier.WorkspaceName) bool { return true }
 	a.Configure(map[identifier.WorkspaceName]Bounds{"w": testBounds})
-	a.EnterEpoch(epochtracker.Epoch{Number: 0, BasedOn: identifier.NoOffset, Members: []epochtracker.Member{{Incarnation: "self", VM: "vm"}}})
+	a.EnterEpoch(epochtracker.Epoch{Number: 0, BasedOn: identifier.NoPosition, Members: []epochtracker.Member{{Incarnation: "self", VM: "vm"}}})
 	return a, clock
 }
 
@@ -150,7 +150,7 @@
 	for _, name := range []identifier.WorkspaceName{"w1", "w2", "w3", "w4"} {
 		a.Configure(map[identifier.WorkspaceName]Bounds{name: testBounds})
 	}
-	a.EnterEpoch(epochtracker.Epoch{Number: 0, BasedOn: identifier.NoOffset, Members: members})
+	a.EnterEpoch(epochtracker.Epoch{Number: 0, BasedOn: identifier.NoPosition, Members: members})
 	epoch := epochtracker.Epoch{Number: 0, Members: members}
 	account := Account{Slot: testWindow / 16, Slots: []identifier.Tokens{3000, 0, 4000, 9_000_000}, Age: -100 * time.Millisecond}
 	for _, name := range []identifier.WorkspaceName{"w1", "w2", "w3", "w4"} {
--- a/request/accountant/replication.go
+++ b/request/accountant/replication.go
@@ -71,14 +71,14 @@
 // currentEpoch returns the epoch that was entered last.
 func (a *Accountant) currentEpoch() epochtracker.Epoch {
 	if len(a.epochs) == 0 {
-		return epochtracker.Epoch{Number: identifier.NoOffset}
+		return epochtracker.Epoch{Number: identifier.NoPosition}
 	}
 	return a.epochs[len(a.epochs)-1].epoch
 }
 
 // Epoch returns the number of the epoch that was entered last. A heartbeat must not
 // state a newer one, because its receiver relies on what the epoch says about copies.
-func (a *Accountant) Epoch() identifier.Offset {
+func (a *Accountant) Epoch() identifier.Position {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.currentEpoch().Number
@@ -157,12 +157,12 @@
 // retention, or to the first epoch of the fleet.
 func (a *Accountant) hasWholeHistory(now time.Time) bool {
 	first := a.epochs[0]
-	return first.epoch.BasedOn == identifier.NoOffset || now.Sub(first.enteredAt) > a.retention()
+	return first.epoch.BasedOn == identifier.NoPosition || now.Sub(first.enteredAt) > a.retention()
 }
 
 // hasCopiesOfMajority reports whether a majority of an epoch's members has sent its
 // copies in the current epoch.
-func (a *Accountant) hasCopiesOfMajority(epoch epochtracker.Epoch, current identifier.Offset) bool {
+func (a *Accountant) hasCopiesOfMajority(epoch epochtracker.Epoch, current identifier.Position) bool {
 	count := 0
 	for _, member := range epoch.Members {
 		newest, ok := a.entered[member.Incarnation]
@@ -227,7 +227,7 @@
 // Adopt takes over what another member sent in an epoch. An account of a holder that has
 // not entered the epoch of this daemon is ignored. hasDrained states that the member
 // admits nothing more.
-func (a *Accountant) Adopt(from identifier.Incarnation, epoch identifier.Offset, accounts []Account, hasDrained bool) {
+func (a *Accountant) Adopt(from identifier.Incarnation, epoch identifier.Position, accounts []Account, hasDrained bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if epoch < a.currentEpoch().Number {
@@ -256,7 +256,7 @@
 // Confirm records that a member has received the accounts that this daemon sent in an
 // epoch. The member's epoch is that of its response. A member in a newer epoch ignored
 // the accounts.
-func (a *Accountant) Confirm(by identifier.Incarnation, sentIn, epoch identifier.Offset, accounts []Account) {
+func (a *Accountant) Confirm(by identifier.Incarnation, sentIn, epoch identifier.Position, accounts []Account) {
 	if epoch > sentIn || len(accounts) == 0 {
 		return
 	}
--- a/request/apportioner/apportioner.go
+++ b/request/apportioner/apportioner.go
@@ -115,7 +115,7 @@
 		a.epochs = a.epochs[1:]
 	}
 	// Before the first epoch of the fleet there were no members.
-	isWhole := len(a.epochs) > 0 && (a.epochs[0].epoch.BasedOn == identifier.NoOffset || now.Sub(a.epochs[0].enteredAt) > a.retention())
+	isWhole := len(a.epochs) > 0 && (a.epochs[0].epoch.BasedOn == identifier.NoPosition || now.Sub(a.epochs[0].enteredAt) > a.retention())
 	if !isWhole {
 		return a.restartPart(workspace)
 	}
--- a/request/apportioner/apportioner_test.go
+++ b/request/apportioner/apportioner_test.go
@@ -46,7 +46,7 @@
 			clock.Advance(time.Duration(rapid.SampledFrom([]int{100, 500, 1000}).Draw(t, "ms")) * time.Millisecond)
 			if len(epochs) == 0 || rapid.IntRange(0, 9).Draw(t, "begin") == 0 {
 				first := rapid.IntRange(0, daemons-1).Draw(t, "first")
-				epoch := epochtracker.Epoch{Number: identifier.Offset(len(epochs)), BasedOn: identifier.Offset(len(epochs) - 1)}
+				epoch := epochtracker.Epoch{Number: identifier.Position(len(epochs)), BasedOn: identifier.Position(len(epochs) - 1)}
 				for i := range members {
 					epoch.Members = append(epoch.Members, member((first+i)%daemons))
 				}
@@ -107,7 +107,7 @@
 	is := is.New(t)
 	a := New(clockwork.NewFakeClock(), member(0), window)
 	is.Equal(a.DeputyPart("w"), 0.0)
-	a.EnterEpoch(epochtracker.Epoch{Number: 3, BasedOn: identifier.NoOffset, Members: []epochtracker.Member{member(0), member(1)}})
+	a.EnterEpoch(epochtracker.Epoch{Number: 3, BasedOn: identifier.NoPosition, Members: []epochtracker.Member{member(0), member(1)}})
 	is.True(a.DeputyPart("w") > 0)
 	a.EnterEpoch(epochtracker.Epoch{Number: 4, BasedOn: 3, Members: []epochtracker.Member{member(1)}})
 	is.Equal(a.DeputyPart("w"), 0.0)
--- a/request/limiter/lending.go
+++ b/request/limiter/lending.go
@@ -110,7 +110,7 @@
 }
 
 // Epoch returns the epoch of the shares.
-func (l *Limiter) Epoch() identifier.Offset {
+func (l *Limiter) Epoch() identifier.Position {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.epoch
--- a/request/limiter/limiter.go
+++ b/request/limiter/limiter.go
@@ -72,7 +72,7 @@
 	// sortedBuckets lists the buckets by name, so that they are served in the same
 	// order in every run.
 	sortedBuckets []*bucket
-	epoch         identifier.Offset
+	epoch         identifier.Position
 	// baseShare returns this daemon's share of a workspace in the epoch, before
 	// anything is lent. baseSharesApplied reports whether these shares are in use.
 	baseShare         func(identifier.WorkspaceName) identifier.PartsPerMillion
@@ -96,7 +96,7 @@
 // BorrowRequest asks a lender for part of its share and tokens of a workspace.
 type BorrowRequest struct {
 	Borrower  identifier.Incarnation
-	Epoch     identifier.Offset
+	Epoch     identifier.Position
 	Workspace identifier.WorkspaceName
 	// Sequence increases with each request of the borrower. A retry has the sequence of
 	// the request that it repeats.
@@ -112,7 +112,7 @@
 
 // BorrowResponse is a lender's response to a BorrowRequest.
 type BorrowResponse struct {
-	Epoch identifier.Offset
+	Epoch identifier.Position
 	// Share and Tokens are what the lender has deducted for the borrower.
 	Share  identifier.PartsPerMillion
 	Tokens float64
@@ -130,7 +130,7 @@
 		wake:      make(chan struct{}, 1),
 		buckets:   make(map[identifier.WorkspaceName]*bucket),
 		baseShare: func(identifier.WorkspaceName) identifier.PartsPerMillion { return 0 },
-		epoch:     identifier.NoOffset,
+		epoch:     identifier.NoPosition,
 		loans:     make(map[loanKey]loan),
 	}
 }
@@ -188,13 +188,13 @@
 // zero for a daemon that is not a member. Until ApplyBaseShares is called, each bucket
 // holds the smaller of its old and its new share, so that the shares of all daemons sum
 // to at most one while some of them are still in the old epoch.
-func (l *Limiter) EnterEpoch(epoch identifier.Offset, base identifier.PartsPerMillion) {
+func (l *Limiter) EnterEpoch(epoch identifier.Position, base identifier.PartsPerMillion) {
 	l.EnterEpochWithShares(epoch, func(identifier.WorkspaceName) identifier.PartsPerMillion { return base })
 }
 
 // EnterEpochWithShares enters an epoch whose base shares differ by workspace. An
 // epoch that is not newer than the current one is ignored.
-func (l *Limiter) EnterEpochWithShares(epoch identifier.Offset, baseShare func(identifier.WorkspaceName) identifier.PartsPerMillion) {
+func (l *Limiter) EnterEpochWithShares(epoch identifier.Position, baseShare func(identifier.WorkspaceName) identifier.PartsPerMillion) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if epoch <= l.epoch {
@@ -214,7 +214,7 @@
 // ApplyBaseShares sets the shares to the base shares of the epoch. The caller must know
 // that all members have entered it. ApplyBaseShares does nothing if it has been called
 // in this epoch, for any other epoch, and after Drain.
-func (l *Limiter) ApplyBaseShares(epoch identifier.Offset) {
+func (l *Limiter) ApplyBaseShares(epoch identifier.Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if epoch != l.epoch || l.baseSharesApplied || l.drained {
--- a/request/limiter/limiter_test.go
+++ b/request/limiter/limiter_test.go
@@ -192,7 +192,7 @@
 
 // allEntered reports whether all limiters have entered an epoch, which daemons learn
 // from heartbeats.
-func allEntered(limiters []*Limiter, epoch identifier.Offset) bool {
+func allEntered(limiters []*Limiter, epoch identifier.Position) bool {
 	for _, l := range limiters {
 		if l.Epoch() < epoch {
 			return false
@@ -331,7 +331,7 @@
 	l.Configure(all)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		l.EnterEpoch(identifier.Offset(i), 1000)
-		l.ApplyBaseShares(identifier.Offset(i))
+		l.EnterEpoch(identifier.Position(i), 1000)
+		l.ApplyBaseShares(identifier.Position(i))
 	}
 }
--- a/request/proxier/cold_test.go
+++ b/request/proxier/cold_test.go
@@ -24,9 +24,9 @@
 	f.Coldstarter.Bound = func() coldstarter.Bound { return coldstarter.Bound{Overshoot: 2} }
 	f.Coldstarter.ContactAge = func() time.Duration { return 0 }
 	entry := f.Registrar.All()[0]
-	entry.Offset = 100
+	entry.Position = 100
 	entry.ColdLeft = time.Minute
-	f.Registrar.Apply(registrar.Update{NextOffset: 200, Entries: []registrar.Entry{entry}})
+	f.Registrar.Apply(registrar.Update{NextPosition: 200, Entries: []registrar.Entry{entry}})
 	return f
 }
 
--- a/request/proxier/plain.go
+++ b/request/proxier/plain.go
@@ -236,7 +236,7 @@
 	r.misdirected = p.isMisdirected(response)
 	if r.misdirected {
 		p.Registrar.MarkStale(upstream)
-		p.Log.Info("An address has another upstream.", "id", rs.req.ID, "upstream", upstream.Name, "offset", upstream.Offset)
+		p.Log.Info("An address has another upstream.", "id", rs.req.ID, "upstream", upstream.Name, "offset", upstream.Position)
 	}
 	rs.mayHaveRun = rs.mayHaveRun || !r.notRun
 	r.ration = p.Memory.Begin()
--- a/request/proxier/proxier_test.go
+++ b/request/proxier/proxier_test.go
@@ -146,7 +146,7 @@
 	clock := clockwork.NewRealClock()
 	f := &fixture{upstreams: make(map[string]*fakeUpstream)}
 	registry := registrar.New(clock)
-	update := registrar.Update{NextOffset: 10, IsSnapshot: true}
+	update := registrar.Update{NextPosition: 10, IsSnapshot: true}
 	for i, name := range names {
 		u := &fakeUpstream{status: http.StatusOK, disconnected: make(chan struct{})}
 		server := httptest.NewServer(u)
@@ -154,7 +154,7 @@
 		f.upstreams[name] = u
 		update.Entries = append(update.Entries, registrar.Entry{
 			Name: identifier.UpstreamName(name), Service: "s", State: registrar.StateReady, Slots: 6,
-			Address: identifier.Address(server.Listener.Addr().String()), Offset: identifier.Offset(i),
+			Address: identifier.Address(server.Listener.Addr().String()), Position: identifier.Position(i),
 		})
 	}
 	registry.Apply(update)
@@ -207,10 +207,10 @@
 
 // setRoles gives upstreams the roles of engines.
 func (f *fixture) setRoles(roles map[string]parser.Role) {
-	update := registrar.Update{NextOffset: 200}
+	update := registrar.Update{NextPosition: 200}
 	for i, entry := range f.Registrar.All() {
 		entry.Role = roles[string(entry.Name)]
-		entry.Offset = identifier.Offset(100 + i)
+		entry.Position = identifier.Position(100 + i)
 		update.Entries = append(update.Entries, entry)
 	}
 	f.Registrar.Apply(update)
--- a/request/proxier/send_test.go
+++ b/request/proxier/send_test.go
@@ -188,8 +188,8 @@
 	for _, entry := range f.Registrar.All() {
 		if entry.Name == name {
 			entry.State = registrar.StateDraining
-			entry.Offset = 300
-			f.Registrar.Apply(registrar.Update{NextOffset: 301, Entries: []registrar.Entry{entry}})
+			entry.Position = 300
+			f.Registrar.Apply(registrar.Update{NextPosition: 301, Entries: []registrar.Entry{entry}})
 		}
 	}
 }
--- a/request/proxier/zones_test.go
+++ b/request/proxier/zones_test.go
@@ -27,13 +27,13 @@
 func (f *fixture) setZones(zones map[string]identifier.ZoneName) {
 	for i, entry := range f.Registrar.All() {
 		entry.Zone = zones[string(entry.Name)]
-		entry.Offset = identifier.Offset(100 + i)
-		f.Registrar.Apply(registrar.Update{NextOffset: 200, Entries: []registrar.Entry{entry}})
+		entry.Position = identifier.Position(100 + i)
+		f.Registrar.Apply(registrar.Update{NextPosition: 200, Entries: []registrar.Entry{entry}})
 	}
 }
 
-func (f *fixture) evacuate(offset identifier.Offset, zones ...identifier.ZoneName) {
-	relay := evacuator.Relay{NextOffset: offset}
+func (f *fixture) evacuate(position identifier.Position, zones ...identifier.ZoneName) {
+	relay := evacuator.Relay{NextPosition: position}
 	for _, zone := range zones {
 		relay.Evacuations = append(relay.Evacuations, evacuator.Evacuation{Zone: zone})
 	}
--- a/version/epochtracker/epochtracker.go
+++ b/version/epochtracker/epochtracker.go
@@ -30,12 +30,12 @@
 // member holds a share of every limit, or, with fleet.Fleet.WholeLimits, one member
 // holds the whole limit of a workspace (see RankedMembers).
 type Epoch struct {
-	// Number is the offset of the record that began the epoch.
-	Number identifier.Offset `json:"number"`
-	// BasedOn is the number of the epoch before this one: identifier.NoOffset for the
+	// Number is the position of the record that began the epoch.
+	Number identifier.Position `json:"number"`
+	// BasedOn is the number of the epoch before this one: identifier.NoPosition for the
 	// first one of the fleet, and zero also if it is unknown.
-	BasedOn identifier.Offset `json:"based-on,omitempty"`
-	Members []Member          `json:"members"`
+	BasedOn identifier.Position `json:"based-on,omitempty"`
+	Members []Member            `json:"members"`
 	// MustAwaitStaleness tells the members to wait before they use the limits of
 	// this epoch. It is set if a member was removed only because the platform's
 	// list of VMs no longer has it. That daemon may still run, and uses its limits
@@ -44,13 +44,19 @@
 	MustAwaitStaleness bool `json:"wait-for-stale,omitempty"`
 }
 
-// Proposal is a record of the epochs stream. It begins an epoch if the epoch that it
-// is based on is still the newest.
+// Record is a record of the epochs stream.
+type Record struct {
+	Position identifier.Position
+	Data     []byte
+}
+
+// Proposal is the content of a record of the epochs stream. It begins an epoch if the epoch
+// that it is based on is still the newest.
 type Proposal struct {
 	// BasedOn is the number of the epoch that the proposer saw.
-	BasedOn            identifier.Offset `json:"based-on"`
-	Members            []Member          `json:"members"`
-	MustAwaitStaleness bool              `json:"wait-for-stale,omitempty"`
+	BasedOn            identifier.Position `json:"based-on"`
+	Members            []Member            `json:"members"`
+	MustAwaitStaleness bool                `json:"wait-for-stale,omitempty"`
 }
 
 // HasMember reports whether an incarnation is a member of the epoch.
@@ -86,20 +92,25 @@
 	return xxhash.Sum64String(string(workspace) + "/" + string(member.VM))
 }
 
-// Apply returns the epoch after a record. If the record is malformed, or based on
-// an epoch other than the current one, it returns the current epoch and an
-// error.
-func Apply(current Epoch, offset identifier.Offset, data []byte) (next Epoch, err error) {
-	defer annotator.Annotate(&err, "apply epoch record %d", offset)
+// Apply returns the epoch after a record. If the record is malformed or begins no epoch, it
+// returns the current epoch and an error.
+func Apply(current Epoch, record Record) (next Epoch, err error) {
+	defer annotator.Annotate(&err, "apply epoch record %s", record.Position)
 	var proposal Proposal
-	err = json.Unmarshal(data, &proposal)
+	err = json.Unmarshal(record.Data, &proposal)
 	if err != nil {
 		return current, err
 	}
+	next = proposal.epoch(record.Position)
 	if proposal.BasedOn != current.Number {
-		return current, fmt.Errorf("the proposal is based on epoch %d, but the newest is %d", proposal.BasedOn, current.Number)
+		return current, fmt.Errorf("the proposal is based on epoch %s, but the newest is %s", proposal.BasedOn, current.Number)
 	}
-	return Epoch{Number: offset, BasedOn: proposal.BasedOn, Members: proposal.Members, MustAwaitStaleness: proposal.MustAwaitStaleness}, nil
+	return next, nil
+}
+
+// epoch returns the epoch that a proposal at a position begins.
+func (p Proposal) epoch(position identifier.Position) Epoch {
+	return Epoch{Number: position, BasedOn: p.BasedOn, Members: p.Members, MustAwaitStaleness: p.MustAwaitStaleness}
 }
 
 // Tracker holds the newest epoch that this daemon knows.
@@ -111,15 +122,15 @@
 	// may take locks whose holders call Current.
 	current atomic.Pointer[Epoch]
 	// mu serializes changes of the epoch.
-	mu         sync.Mutex
-	nextOffset identifier.Offset
+	mu           sync.Mutex
+	nextPosition identifier.Position
 }
 
 // New returns a Tracker that knows no epoch yet. Its current epoch has the number
-// identifier.NoOffset and no members.
+// identifier.NoPosition and no members.
 func New() *Tracker {
 	t := &Tracker{OnChange: func(Epoch) {}}
-	t.current.Store(&Epoch{Number: identifier.NoOffset})
+	t.current.Store(&Epoch{Number: identifier.NoPosition})
 	return t
 }
 
@@ -128,23 +139,28 @@
 	return *t.current.Load()
 }
 
-// NextOffset returns the offset of the record to read next.
-func (t *Tracker) NextOffset() identifier.Offset {
+// NextPosition returns the position of the record to read next.
+func (t *Tracker) NextPosition() identifier.Position {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.nextOffset
+	return t.nextPosition
 }
 
 // Handle applies a record. It ignores a record that was already read, and returns an
 // error for a record that begins no epoch.
-func (t *Tracker) Handle(offset identifier.Offset, data []byte) (err error) {
+func (t *Tracker) Handle(record Record) (err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if offset < t.nextOffset {
+	if record.Position < t.nextPosition {
 		return nil
 	}
-	t.nextOffset = offset + 1
-	epoch, err := Apply(t.Current(), offset, data)
+	t.nextPosition = record.Position + 1
+	return t.apply(record)
+}
+
+// apply applies a record that was read. The caller holds mu.
+func (t *Tracker) apply(record Record) error {
+	epoch, err := Apply(t.Current(), record)
 	if err != nil {
 		return err
 	}
@@ -153,6 +169,37 @@
 	return nil
 }
 
+// Advance records that there are no records before a position that were not read.
+func (t *Tracker) Advance(next identifier.Position) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nextPosition = max(t.nextPosition, next)
+}
+
+// Restart continues at another position, because the log does not have all records from
+// NextPosition on. The newest record has no data if there is none. The current epoch stays
+// if it is newer than that.
+func (t *Tracker) Restart(newest Record, next identifier.Position) (err error) {
+	defer annotator.Annotate(&err, "restart at %s", next)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nextPosition = next
+	if newest.Data == nil {
+		return nil
+	}
+	var proposal Proposal
+	err = json.Unmarshal(newest.Data, &proposal)
+	if err != nil {
+		return err
+	}
+	epoch := proposal.epoch(newest.Position)
+	if epoch.Number > t.Current().Number {
+		t.current.Store(&epoch)
+		t.OnChange(epoch)
+	}
+	return nil
+}
+
 // Install replaces the current epoch with one from a snapshot or a peer, if that
 // is newer.
 func (t *Tracker) Install(epoch Epoch) {
@@ -162,6 +209,6 @@
 		return
 	}
 	t.current.Store(&epoch)
-	t.nextOffset = max(t.nextOffset, epoch.Number+1)
+	t.nextPosition = max(t.nextPosition, epoch.Number+1)
 	t.OnChange(epoch)
 }
--- a/version/snapshotter/snapshotter.go
+++ b/version/snapshotter/snapshotter.go
@@ -43,7 +43,7 @@
 func ReadNewest(ctx context.Context, read ReadFunc) (version *reducer.Version, epoch epochtracker.Epoch, err error) {
 	defer annotator.Annotate(&err, "read newest snapshot")
 	version = reducer.NewVersion()
-	epoch = epochtracker.Epoch{Number: identifier.NoOffset}
+	epoch = epochtracker.Epoch{Number: identifier.NoPosition}
 	from := identifier.Offset(0)
 	for {
 		batch, err := read(ctx, appender.StreamSnapshots, from, readBatchSize, 0)
