Epochs: an epoch has a number of its own, and is proposed again if the log lost it

What callers saw: 429, the home of a workspace cannot be reached. After the store had come back from an older copy, the newest epoch of the copy counted as newer than the one in force, as its position is in a later era. Its members may have been replaced long ago, and a member of the lost epoch was left out without any proof that it had stopped admitting.

A proposal now carries the position at which it was to be appended. That is the epoch's number wherever its record is read later, so that the record of a copy replaces nothing, and a proposal of an earlier era that is carried out late replaces no later epoch. Daemons that hold an epoch which the log lost keep it and propose its members at once, as a newer epoch; one that has just started learns it from its peers. Proposals without a number, of earlier builds and of the product's own log, are applied as before. After a failed read of the configuration the next one does not wait, so that a new era is known at once.

The tests name the failures.

--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -109,6 +109,8 @@
 		batch, err := g.drivers.ReadVersions(ctx, next, wait)
 		if err != nil {
 			g.Meter.CountRetry(meter.RetryLogRead)
+			// The log may be back from an older copy, which the next response tells at once.
+			wait = 0
 			if !g.isStoreDown.Swap(true) && ctx.Err() == nil {
 				log.Warn("The store is out of reach.", "err", err, "version", g.Follower.Version().Number)
 			}
@@ -198,7 +200,7 @@
 	}
 	g.recordRead(topicEpochs, LogRead{From: from, Next: batch.NextPosition, End: batch.EndPosition}, batch.Truncated)
 	if batch.Truncated {
-		return g.restartEpochs(ctx)
+		return g.restartEpochs(ctx, log)
 	}
 	for _, record := range batch.Records {
 		err := g.EpochTracker.Handle(record)
@@ -214,7 +216,7 @@
 }
 
 // restartEpochs continues with the newest epoch.
-func (g *Gateway) restartEpochs(ctx context.Context) error {
+func (g *Gateway) restartEpochs(ctx context.Context, log *slog.Logger) error {
 	requestedAt := g.Clock.Now()
 	newest, next, err := g.drivers.NewestEpoch(ctx)
 	if err != nil {
@@ -225,6 +227,9 @@
 		return err
 	}
 	g.Confirmer.RecordLogRead(appender.StreamEpochs, requestedAt)
+	if g.EpochTracker.IsLost() {
+		log.Warn("The log lost the epoch in force.", "epoch", g.EpochTracker.Current().Number, "newest", newest.Position)
+	}
 	return nil
 }
 
--- a/process/proposer/proposer.go
+++ b/process/proposer/proposer.go
@@ -180,8 +180,8 @@
 }
 
 // shouldPropose updates the target membership. It reports whether the target
-// differs from the epoch's members and has been unchanged for the debounce delay,
-// and it is this daemon's turn to propose it.
+// differs from the epoch's members and has been unchanged for the debounce delay, or the
+// log lost the epoch, and it is this daemon's turn to propose the target.
 func (p *Proposer) shouldPropose(epoch epochtracker.Epoch) bool {
 	now := p.Clock.Now()
 	target := p.targetMembers(epoch)
@@ -189,7 +189,8 @@
 		p.target = target
 		p.targetSince = now
 	}
-	if len(target) == 0 || slices.Equal(target, epoch.Members) {
+	isDue := !slices.Equal(target, epoch.Members) || p.EpochTracker.IsLost()
+	if len(target) == 0 || !isDue {
 		return false
 	}
 	isTurn := now.Sub(p.targetSince) >= p.debounceDelay(epoch)+time.Duration(p.proposerRank(epoch))*proposerStagger
@@ -198,6 +199,9 @@
 }
 
 func (p *Proposer) debounceDelay(epoch epochtracker.Epoch) time.Duration {
+	if p.EpochTracker.IsLost() {
+		return 0
+	}
 	if len(epoch.Members) > 0 && !p.hasLiveMember(epoch) {
 		return orphanedDebounceDelay
 	}
@@ -377,14 +381,18 @@
 	return p.append(ctx, proposal)
 }
 
-// append appends a proposal, on a condition where the log knows conditions.
+// append appends a proposal. On a condition, it is the place that gives the epoch its number.
 func (p *Proposer) append(ctx context.Context, proposal epochtracker.Proposal) error {
+	at := p.EpochTracker.NextPosition()
+	if p.AppendAt != nil {
+		proposal.Number = &at
+	}
 	data, err := json.Marshal(proposal)
 	if err != nil {
 		return err
 	}
 	if p.AppendAt != nil {
-		_, err = p.AppendAt(ctx, data, p.EpochTracker.NextPosition())
+		_, err = p.AppendAt(ctx, data, at)
 		return err
 	}
 	_, err = p.Append(ctx, appender.StreamEpochs, data)
--- a/process/proposer/proposer_test.go
+++ b/process/proposer/proposer_test.go
@@ -195,3 +195,31 @@
 	is.Equal(len(p.proposed), 1)
 	is.Equal(len(p.proposed[0].Members), 3)
 }
+
+// Guards against a fleet whose epoch is only in the memory of its daemons after the log came
+// back from an older copy.
+func TestLostEpochIsProposedAgain(t *testing.T) {
+	is := is.New(t)
+	p := newTestProposer("a", "a", "b", "c")
+	older := identifier.NewPosition(1, 0)
+	next := identifier.NewPosition(1, 1)
+	raw, err := json.Marshal(epochtracker.Proposal{Number: &older, Members: []epochtracker.Member{member("gone")}})
+	is.NoErr(err)
+	p.EpochTracker.Install(epochtracker.Epoch{Number: identifier.NewPosition(1, 2), Members: []epochtracker.Member{member("a"), member("b"), member("c")}})
+	p.AppendAt = func(_ context.Context, data []byte, at identifier.Position) (identifier.Position, error) {
+		var proposal epochtracker.Proposal
+		is.NoErr(json.Unmarshal(data, &proposal))
+		p.proposed = append(p.proposed, proposal)
+		return at, p.EpochTracker.Handle(epochtracker.Record{Position: at, Data: data})
+	}
+	p.run(time.Second, "b", "c")
+	is.Equal(len(p.proposed), 0)
+	is.NoErr(p.EpochTracker.Restart(epochtracker.Record{Position: identifier.NewPosition(2, 0), Data: raw}, identifier.NewPosition(2, next.Offset())))
+	p.run(300*time.Millisecond, "b", "c")
+	is.Equal(len(p.proposed), 1)
+	is.Equal(p.proposed[0].BasedOn, identifier.NewPosition(1, 2))
+	is.Equal(p.EpochTracker.Current().Members, []epochtracker.Member{member("a"), member("b"), member("c")})
+	is.Equal(p.EpochTracker.Current().Number, identifier.NewPosition(2, 1))
+	p.run(3*time.Second, "b", "c")
+	is.Equal(len(p.proposed), 1) // it is in the log now
+}
--- a/version/epochtracker/epochtracker.go
+++ b/version/epochtracker/epochtracker.go
@@ -30,7 +30,8 @@
 // member holds a share of every limit, or, with fleet.Fleet.WholeLimits, one member
 // holds the whole limit of a workspace (see RankedMembers).
 type Epoch struct {
-	// Number is the position of the record that began the epoch.
+	// Number is the position that the record had that began the epoch. A log that came
+	// back from an older copy may have that record elsewhere, or not any more.
 	Number identifier.Position `json:"number"`
 	// BasedOn is the number of the epoch before this one: identifier.NoPosition for the
 	// first one of the fleet, and zero also if it is unknown.
@@ -50,9 +51,14 @@
 	Data     []byte
 }
 
-// Proposal is the content of a record of the epochs stream. It begins an epoch if the epoch
-// that it is based on is still the newest.
+// Proposal is the content of a record of the epochs stream. One with a number was appended
+// on the condition that the log ends there. It begins an epoch if the number is higher than
+// that of the newest epoch. One without begins an epoch if the epoch that it is based on is
+// still the newest.
 type Proposal struct {
+	// Number is the number of the epoch, unless it is nil: the position at which the
+	// proposal was to be appended.
+	Number *identifier.Position `json:"number,omitempty"`
 	// BasedOn is the number of the epoch that the proposer saw.
 	BasedOn            identifier.Position `json:"based-on"`
 	Members            []Member            `json:"members"`
@@ -102,15 +108,24 @@
 		return current, err
 	}
 	next = proposal.epoch(record.Position)
-	if proposal.BasedOn != current.Number {
+	switch {
+	case proposal.Number == nil && proposal.BasedOn != current.Number:
 		return current, fmt.Errorf("the proposal is based on epoch %s, but the newest is %s", proposal.BasedOn, current.Number)
+	case next.Number <= current.Number:
+		return current, fmt.Errorf("the proposal is for epoch %s, but the newest is %s", next.Number, current.Number)
+	case next.Number > record.Position:
+		return current, fmt.Errorf("the proposal is for epoch %s, which is not reached yet", next.Number)
 	}
 	return next, nil
 }
 
 // epoch returns the epoch that a proposal at a position begins.
 func (p Proposal) epoch(position identifier.Position) Epoch {
-	return Epoch{Number: position, BasedOn: p.BasedOn, Members: p.Members, MustAwaitStaleness: p.MustAwaitStaleness}
+	number := position
+	if p.Number != nil {
+		number = *p.Number
+	}
+	return Epoch{Number: number, BasedOn: p.BasedOn, Members: p.Members, MustAwaitStaleness: p.MustAwaitStaleness}
 }
 
 // Tracker holds the newest epoch that this daemon knows.
@@ -124,12 +139,15 @@
 	// mu serializes changes of the epoch.
 	mu           sync.Mutex
 	nextPosition identifier.Position
+	// newestRead is the highest number of an epoch whose record was read since the log
+	// last came back from an older copy.
+	newestRead identifier.Position
 }
 
 // New returns a Tracker that knows no epoch yet. Its current epoch has the number
 // identifier.NoPosition and no members.
 func New() *Tracker {
-	t := &Tracker{OnChange: func(Epoch) {}}
+	t := &Tracker{OnChange: func(Epoch) {}, newestRead: identifier.NoPosition}
 	t.current.Store(&Epoch{Number: identifier.NoPosition})
 	return t
 }
@@ -164,6 +182,7 @@
 	if err != nil {
 		return err
 	}
+	t.newestRead = epoch.Number
 	t.current.Store(&epoch)
 	t.OnChange(epoch)
 	return nil
@@ -184,6 +203,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.nextPosition = next
+	t.newestRead = identifier.NoPosition
 	if newest.Data == nil {
 		return nil
 	}
@@ -193,6 +213,7 @@
 		return err
 	}
 	epoch := proposal.epoch(newest.Position)
+	t.newestRead = epoch.Number
 	if epoch.Number > t.Current().Number {
 		t.current.Store(&epoch)
 		t.OnChange(epoch)
@@ -200,6 +221,15 @@
 	return nil
 }
 
+// IsLost reports whether the log came back from an older copy that does not have the
+// current epoch.
+func (t *Tracker) IsLost() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current := t.Current().Number
+	return current != identifier.NoPosition && current.Era() < t.nextPosition.Era() && t.newestRead < current
+}
+
 // Install replaces the current epoch with one from a snapshot or a peer, if that
 // is newer.
 func (t *Tracker) Install(epoch Epoch) {
