Registrar: servers that an older copy lacks or brings back

A copy of the log lacks servers that registered after it, and has those that drained or left after it. The first were dropped at once (no outage was noticed if the store was away for less than 1.5 s), the second got requests again at daemons that knew them from hubs only, as these know no numbers of records.

A record that brings back a process which was removed in an earlier era is withheld, as one carried out late, until the process writes again. A server that registers again with the very first record after a full read no longer stays marked for removal: the removal was as of that same position.

--- a/process/registrar/index.go
+++ b/process/registrar/index.go
@@ -8,7 +8,7 @@
 	"sassafraspass.dev/sassafraspass/identifier"
 )
 
-// changedSince returns the entries that changed at an position or later, or all of them. It
+// changedSince returns the entries that changed at a position or later, or all of them. It
 // looks at the entries only if one may have changed, as each heartbeat asks for the
 // changes. The caller holds the lock.
 func (r *Registrar) changedSince(from identifier.Position, isSnapshot bool) (changed []Entry) {
@@ -26,7 +26,7 @@
 	return changed
 }
 
-// removedSince returns the removals at an position or later and those that every update
+// removedSince returns the removals at a position or later and those that every update
 // holds. The caller holds the lock.
 func (r *Registrar) removedSince(from identifier.Position) (removed []Removal) {
 	now := r.clock.Now()
--- a/process/registrar/late.go
+++ b/process/registrar/late.go
@@ -54,10 +54,22 @@
 		return heard.at.Add(lateDrainHold)
 	case !known && entry.Sequence > 0 && entry.Sequence <= heard.sequence:
 		return heard.at.Add(lateWriteHold)
+	case !known && entry.Sequence > 0 && heard.sequence == 0 && r.isOfOlderCopy(entry):
+		return r.removals[entry.Name].at.Add(lateWriteHold)
 	}
 	return time.Time{}
 }
 
+// isOfOlderCopy reports whether a record of a removed process may only be back because the
+// log came back from an older copy. Its next record shows that the process lives. The caller
+// holds the lock.
+func (r *Registrar) isOfOlderCopy(entry Entry) bool {
+	removed, isRemoved := r.removals[entry.Name]
+	late, isWithheld := r.withheld[entry.Name]
+	isNext := isWithheld && late.entry.Sequence < entry.Sequence
+	return isRemoved && removed.position.Era() < entry.Position.Era() && !isNext
+}
+
 // withhold keeps a record back that was carried out late, and reports whether it did. The
 // caller holds the lock.
 func (r *Registrar) withhold(entry Entry) bool {
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -96,15 +96,17 @@
 	completeSince time.Time
 }
 
-// deferredRemoval is a removal as of an position that takes effect after until.
+// deferredRemoval is a removal as of a position that takes effect after until.
 type deferredRemoval struct {
 	position identifier.Position
 	until    time.Time
 }
 
-// removal is a removal as of an position. Every update holds it until relayedUntil.
+// removal is a removal as of a position, which was recorded at a time. Every update holds it
+// until relayedUntil.
 type removal struct {
 	position     identifier.Position
+	at           time.Time
 	relayedUntil time.Time
 }
 
@@ -153,13 +155,13 @@
 	Removed    []Removal `json:"Gone"`
 }
 
-// Removal is the removal of an upstream as of an position.
+// Removal is the removal of an upstream as of a position.
 type Removal struct {
 	Name     identifier.UpstreamName
 	Position identifier.Position
 }
 
-// UpdateSince returns the changes from an position on, or a snapshot if they are no
+// UpdateSince returns the changes from a position on, or a snapshot if they are no
 // longer known. It returns nil if this daemon has not read the list completely, or
 // not up to that position.
 func (r *Registrar) UpdateSince(from identifier.Position) *Update {
@@ -186,6 +188,10 @@
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	r.detectRecovery(update.Age, now)
+	if r.isComplete && update.NextPosition.Era() > r.nextPosition.Era() {
+		// The log lost records, and who registered meanwhile registers again.
+		r.recoveredAt = now
+	}
 	// An update that ends before NextPosition holds nothing new, but may list upstreams
 	// that have been removed since.
 	isOutdated := r.isComplete && update.NextPosition < r.nextPosition
@@ -311,7 +317,7 @@
 	delete(r.removals, entry.Name)
 	r.removeOthersAt(entry)
 	deferred, isDeferred := r.deferredRemovals[entry.Name]
-	isBack := isDeferred && deferred.position < entry.Position
+	isBack := isDeferred && deferred.position <= entry.Position
 	if isBack {
 		delete(r.deferredRemovals, entry.Name)
 	}
@@ -342,7 +348,7 @@
 	}
 }
 
-// removeOrDefer removes an upstream as of an position. It ignores a removal older than the
+// removeOrDefer removes an upstream as of a position. It ignores a removal older than the
 // known entry. Right after an outage a ready upstream stays in use until
 // recoveryGrace ends, as its entry may have expired only because of the outage. The
 // caller holds the lock.
@@ -375,6 +381,7 @@
 	delete(r.entries, name)
 	delete(r.deferredRemovals, name)
 	delete(r.changePositions, name)
+	removed.at = r.clock.Now()
 	r.removals[name] = removed
 	r.newestRemoval = max(r.newestRemoval, removed.position)
 	if removed.relayedUntil.After(r.relayRemovalsUntil) {
