Leaser: the process after one that still had to wait waits too

A claim now says whether its daemon had to wait, and the next process on the VM skips the wait only if it had not. TestNextIncarnationWaitsIfTheOneBeforeHadTo fails without that; the first holder's VM still skips it. Claims of earlier builds don't say it and count as before.

--- a/process/leaser/leaser.go
+++ b/process/leaser/leaser.go
@@ -21,6 +21,14 @@
 type Claim struct {
 	Holder      identifier.VMName      `json:"holder"`
 	Incarnation identifier.Incarnation `json:"incarnation"`
+	// MustWait is set if the daemon had to wait before it acted. Whether it still had to
+	// when its process ended is not known.
+	MustWait bool `json:"must-wait,omitempty"`
+}
+
+// isOf reports whether a claim is that of a daemon.
+func (c Claim) isOf(own Claim) bool {
+	return c.Holder == own.Holder && c.Incarnation == own.Incarnation
 }
 
 // NewestClaim is the newest claim of a duty.
@@ -68,8 +76,8 @@
 // Acquire reads the newest claim of a duty. It appends a claim of this daemon if the
 // duty has no holder or another one, or if this daemon's lease is fenced. It returns
 // the fencing token, and true once this daemon may act, that is, after HandoverWait.
-// The first holder of a duty, and a new incarnation on the holder's VM, need not
-// wait. If a read or an append fails, it returns an error and the daemon must not
+// The first holder of a duty, and a new incarnation on the VM of a holder that had
+// not to wait, need not wait. If a read or an append fails, it returns an error and the daemon must not
 // act.
 func (l *Leaser) Acquire(ctx context.Context, duty string) (token identifier.FencingToken, ok bool, err error) {
 	defer annotator.Annotate(&err, "acquire the lease of the duty %s", duty)
@@ -87,19 +95,15 @@
 	}
 	now := l.Clock.Now()
 	current, known := l.get(duty)
-	isOwn := claim == l.OwnClaim
+	isOwn := claim.isOf(l.OwnClaim)
 	switch {
 	case isOwn && known && current.token == tokenOf(newest.Position) && !current.isFenced:
 	case isOwn && !current.isFenced:
 		// The claim was appended, but the response was lost.
 		current = lease{token: tokenOf(newest.Position), usableFrom: now.Add(l.HandoverWait())}
 	default:
-		usableFrom := now.Add(l.HandoverWait())
-		skipsWait := newest.Data == nil || (claim.Holder == l.OwnClaim.Holder && !current.isFenced)
-		if skipsWait {
-			usableFrom = now
-		}
-		current, err = l.appendOwnClaim(ctx, duty, newest.NextPosition, usableFrom)
+		isFree := newest.Data == nil || (claim.Holder == l.OwnClaim.Holder && !claim.MustWait && !current.isFenced)
+		current, err = l.appendOwnClaim(ctx, duty, newest.NextPosition, !isFree)
 		if err != nil {
 			return 0, false, err
 		}
@@ -111,19 +115,23 @@
 
 // appendOwnClaim appends this daemon's claim if nextPosition is still the next position,
 // and returns the lease of it.
-func (l *Leaser) appendOwnClaim(ctx context.Context, duty string, nextPosition identifier.Position, usableFrom time.Time) (claimed lease, err error) {
-	data, err := json.Marshal(l.OwnClaim)
-	if err != nil {
-		return claimed, err
+func (l *Leaser) appendOwnClaim(ctx context.Context, duty string, nextPosition identifier.Position, mustWait bool) (claimed lease, err error) {
+	claimed.usableFrom = l.Clock.Now()
+	if mustWait {
+		claimed.usableFrom = claimed.usableFrom.Add(l.HandoverWait())
 	}
-	position, err := l.AppendClaim(ctx, duty, data, nextPosition)
+	claim := l.OwnClaim
+	claim.MustWait = mustWait
+	data, err := json.Marshal(claim)
 	if err != nil {
 		return claimed, err
 	}
-	return lease{token: tokenOf(position), usableFrom: usableFrom}, nil
+	position, err := l.AppendClaim(ctx, duty, data, nextPosition)
+	claimed.token = tokenOf(position)
+	return claimed, err
 }
 
-// tokenOf returns the fencing token of the claim at an position. Zero means no token.
+// tokenOf returns the fencing token of the claim at a position. Zero means no token.
 func tokenOf(position identifier.Position) identifier.FencingToken {
 	return identifier.FencingToken(position) + 1
 }
--- a/process/leaser/leaser_test.go
+++ b/process/leaser/leaser_test.go
@@ -166,3 +166,17 @@
 	is.True(!held)
 	is.Equal(len(c.claims), 2)
 }
+
+// Guards against two holders at a time: the process after one that still had to wait for the
+// holder before acted at once.
+func TestNextIncarnationWaitsIfTheOneBeforeHadTo(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	c := &claimLog{}
+	_, held := acquire(t, newLeaser(c, clock, "b", "1"))
+	is.True(held)
+	_, held = acquire(t, newLeaser(c, clock, "a", "1"))
+	is.True(!held)
+	_, held = acquire(t, newLeaser(c, clock, "a", "2"))
+	is.True(!held)
+}
