Leaser: a claim that the log lost is followed by a wait and a higher token

The fencing token is the position of the claim, so that with eras it rises also where an offset is given out again.

A claim states its era. Only one that was made in the present era is known to be the newest; otherwise the new holder waits. With a store that states an era this also delays the first holder of a fleet, once.

--- a/process/leaser/leaser.go
+++ b/process/leaser/leaser.go
@@ -21,6 +21,8 @@
 type Claim struct {
 	Holder      identifier.VMName      `json:"holder"`
 	Incarnation identifier.Incarnation `json:"incarnation"`
+	// Era is that of the log in which the claim was made.
+	Era identifier.Era `json:"era,omitempty"`
 	// MustWait is set if the daemon had to wait before it acted. Whether it still had to
 	// when its process ended is not known.
 	MustWait bool `json:"must-wait,omitempty"`
@@ -77,7 +79,7 @@
 // duty has no holder or another one, or if this daemon's lease is fenced. It returns
 // the fencing token, and true once this daemon may act, that is, after HandoverWait.
 // The first holder of a duty, and a new incarnation on the VM of a holder that had
-// not to wait, need not wait. If a read or an append fails, it returns an error and the daemon must not
+// not to wait, need not wait, unless the log may have lost a claim in between. If a read or an append fails, it returns an error and the daemon must not
 // act.
 func (l *Leaser) Acquire(ctx context.Context, duty string) (token identifier.FencingToken, ok bool, err error) {
 	defer annotator.Annotate(&err, "acquire the lease of the duty %s", duty)
@@ -103,7 +105,10 @@
 		current = lease{token: tokenOf(newest.Position), usableFrom: now.Add(l.HandoverWait())}
 	default:
 		isFree := newest.Data == nil || (claim.Holder == l.OwnClaim.Holder && !claim.MustWait && !current.isFenced)
-		current, err = l.appendOwnClaim(ctx, duty, newest.NextPosition, !isFree)
+		// After a claim of an earlier era, or without any, a later one may be lost whose
+		// holder still acts.
+		isNewest := claim.Era == newest.NextPosition.Era()
+		current, err = l.appendOwnClaim(ctx, duty, newest.NextPosition, !isFree || !isNewest)
 		if err != nil {
 			return 0, false, err
 		}
@@ -121,6 +126,7 @@
 		claimed.usableFrom = claimed.usableFrom.Add(l.HandoverWait())
 	}
 	claim := l.OwnClaim
+	claim.Era = nextPosition.Era()
 	claim.MustWait = mustWait
 	data, err := json.Marshal(claim)
 	if err != nil {
