Evacuator: an evacuation that an older copy lacks is kept

Such a zone now stays evacuated until the operator writes to it, and for 30 s at most, as an evacuation may have been repeated and ended before the set was read. TestEvacuationThatAnOlderCopyLacksIsKept, for the reader and a daemon that it tells; it fails before as the zones are dropped with the first read.

--- a/process/evacuator/evacuator.go
+++ b/process/evacuator/evacuator.go
@@ -21,6 +21,10 @@
 const (
 	// maxZoneBytes is the maximum length of a zone's name in a record.
 	maxZoneBytes = 255
+	// lostHold is how long a zone stays evacuated after the log came back from an older copy
+	// that does not have its record, unless the operator writes to the zone again. Without
+	// a bound, an evacuation that ended meanwhile would last for good.
+	lostHold = 30 * time.Second
 	// Never is the age of a set that was neither read nor relayed.
 	Never = time.Duration(-1)
 )
@@ -78,6 +82,8 @@
 	mu sync.Mutex
 	// zones maps the evacuated zones to the positions of their records.
 	zones map[identifier.ZoneName]identifier.Position
+	// heldUntil holds the zones that are only kept for lostHold.
+	heldUntil map[identifier.ZoneName]time.Time
 	// nextPosition is the position up to which the set is known, or NoPosition.
 	nextPosition identifier.Position
 	// asOf is when the set was last known to be complete.
@@ -94,6 +100,7 @@
 		MaxCutOffAge: func() time.Duration { return 0 },
 		clock:        clock,
 		zones:        make(map[identifier.ZoneName]identifier.Position),
+		heldUntil:    make(map[identifier.ZoneName]time.Time),
 		nextPosition: identifier.NoPosition,
 	}
 }
@@ -121,6 +128,11 @@
 	if !read.IsSnapshot {
 		zones = maps.Clone(e.zones)
 	}
+	isKnown := e.nextPosition != identifier.NoPosition
+	if isKnown && read.IsSnapshot && read.NextPosition.Era() > e.nextPosition.Era() {
+		// The older copy may lack the newest evacuations.
+		maps.Copy(zones, e.zones)
+	}
 	for _, change := range read.Changes {
 		switch {
 		case !read.IsSnapshot && change.Position < e.nextPosition:
@@ -130,7 +142,6 @@
 			zones[change.Zone] = change.Position
 		}
 	}
-	isKnown := e.nextPosition != identifier.NoPosition
 	if read.NextPosition < e.nextPosition || (!read.IsSnapshot && !isKnown) {
 		e.mu.Unlock()
 		return
@@ -158,16 +169,16 @@
 		e.mu.Unlock()
 		return
 	}
-	var changes []Change
+	zones := maps.Clone(e.zones)
 	if relay.NextPosition > e.nextPosition {
-		zones := make(map[identifier.ZoneName]identifier.Position)
+		clear(zones)
 		for _, evacuation := range relay.Evacuations {
 			if CheckZone(evacuation.Zone) == nil {
 				zones[evacuation.Zone] = evacuation.Position
 			}
 		}
-		changes = e.replace(zones, relay.NextPosition)
 	}
+	changes := e.replace(zones, relay.NextPosition)
 	asOf := sentAt.Add(-relay.Age)
 	if asOf.After(e.asOf) {
 		e.asOf = asOf
@@ -176,9 +187,32 @@
 	e.announce(changes, true)
 }
 
-// replace sets the zones as of an position and returns what changed. The caller holds the
+// dropLost removes the zones that were evacuated before the log came back from an older copy
+// in an era, and whose records it did not have again within lostHold. The caller holds the
+// lock.
+func (e *Evacuator) dropLost(zones map[identifier.ZoneName]identifier.Position, era identifier.Era) {
+	now := e.clock.Now()
+	for zone, position := range zones {
+		until, isHeld := e.heldUntil[zone]
+		switch {
+		case position.Era() >= era:
+			delete(e.heldUntil, zone)
+		case !isHeld:
+			e.heldUntil[zone] = now.Add(lostHold)
+		case !now.Before(until):
+			delete(zones, zone)
+		}
+	}
+	maps.DeleteFunc(e.heldUntil, func(zone identifier.ZoneName, _ time.Time) bool {
+		_, isEvacuated := zones[zone]
+		return !isEvacuated
+	})
+}
+
+// replace sets the zones as of a position and returns what changed. The caller holds the
 // lock.
 func (e *Evacuator) replace(zones map[identifier.ZoneName]identifier.Position, nextPosition identifier.Position) (changes []Change) {
+	e.dropLost(zones, nextPosition.Era())
 	for zone, position := range zones {
 		_, wasEvacuated := e.zones[zone]
 		if !wasEvacuated {
@@ -203,7 +237,7 @@
 	}
 }
 
-// RelaySince returns the set to relay to a daemon that knows it up to an position, without
+// RelaySince returns the set to relay to a daemon that knows it up to a position, without
 // the zones if that daemon knows them. It returns nil while nothing is known.
 func (e *Evacuator) RelaySince(known identifier.Position) *Relay {
 	e.mu.Lock()
--- a/process/evacuator/evacuator_test.go
+++ b/process/evacuator/evacuator_test.go
@@ -170,3 +170,40 @@
 	is.True(CheckZone("\xff") != nil)
 	is.NoErr(CheckZone(identifier.ZoneName(strings.Repeat("z", 255))))
 }
+
+// Guards against a zone that gets requests again although it is evacuated, because the log
+// came back from a copy that lacks the record.
+func TestEvacuationThatAnOlderCopyLacksIsKept(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	e, peer := New(clock), New(clock)
+	in := func(era identifier.Era, offset identifier.Offset) identifier.Position {
+		return identifier.NewPosition(era, offset)
+	}
+	relay := func() { peer.ApplyRelay(*e.RelaySince(peer.NextPosition())) }
+	read := func(isSnapshot bool, next identifier.Position, changes ...Change) {
+		e.ApplyRead(Read{Changes: changes, NextPosition: next, IsSnapshot: isSnapshot, ReachedEnd: true, AsOf: clock.Now()})
+		relay()
+	}
+	evacuated := func(zone identifier.ZoneName) bool {
+		is.Equal(e.IsEvacuated(zone), peer.IsEvacuated(zone))
+		return e.IsEvacuated(zone)
+	}
+	change := func(zone identifier.ZoneName, at identifier.Position) Change {
+		return Change{Evacuation: Evacuation{Zone: zone, Position: at}}
+	}
+	read(true, in(1, 5), change("kept", in(1, 4)))
+	read(false, in(1, 8), change("again", in(1, 5)), change("ended", in(1, 6)), change("lost", in(1, 7)))
+	read(true, in(2, 5), change("kept", in(2, 4)))
+	for _, zone := range []identifier.ZoneName{"kept", "again", "ended", "lost"} {
+		is.True(evacuated(zone))
+	}
+	read(false, in(2, 7), change("again", in(2, 5)), Change{Evacuation: Evacuation{Zone: "ended", Position: in(2, 6)}, IsRevoked: true})
+	is.True(evacuated("again"))
+	is.True(!evacuated("ended"))
+	clock.Advance(lostHold)
+	read(false, in(2, 7))
+	is.True(evacuated("kept"))
+	is.True(evacuated("again"))
+	is.True(!evacuated("lost")) // the operator did not write it again
+}
