Quarantine: records that the log lost are stored again

A daemon stored the record of a quarantined part once. If the log lost it and all daemons ended at once, engines crashed again for the same part. TestLostRecordIsStoredAgain fails without HandleLoss.

--- a/process/sharer/records.go
+++ b/process/sharer/records.go
@@ -45,6 +45,12 @@
 	}
 }
 
+// HandleLoss says that stored records may be gone, so that those of the services whose
+// requests this daemon places are read and stored again. It does not block.
+func (s *Sharer) HandleLoss() {
+	s.isStoreLost.Store(true)
+}
+
 // storedRecords is what Run knows about the records in the store.
 type storedRecords struct {
 	isReadDue bool
@@ -90,9 +96,13 @@
 func (s *Sharer) checkRecords(ctx context.Context, stored *storedRecords) error {
 	services := s.Services()
 	placing := make(map[identifier.ServiceName]bool)
+	isStoreLost := s.isStoreLost.Swap(false)
 	for _, service := range services {
 		placing[service] = s.IsPlacing(service)
-		stored.isReadDue = stored.isReadDue || placing[service] && !stored.wasPlacing[service]
+		stored.isReadDue = stored.isReadDue || placing[service] && (isStoreLost || !stored.wasPlacing[service])
+	}
+	if isStoreLost {
+		stored.readAt = time.Time{}
 	}
 	stored.wasPlacing = placing
 	requestedAt := s.Clock.Now()
--- a/process/sharer/records_test.go
+++ b/process/sharer/records_test.go
@@ -260,3 +260,24 @@
 	is.NoErr(d.checkRecords(ctx, stored))
 	is.Equal(store.counts(), [3]int{1, maxReported + 1, 0})
 }
+
+// Guards against engines that crash again for a part whose record the store lost, after all
+// daemons ended at once.
+func TestLostRecordIsStoredAgain(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := newTestStore()
+	d := newTestDaemon(0)
+	stored := store.use(d)
+	d.isPlacing = true
+	d.crash("bad")
+	d.crash("bad")
+	d.quarantine("bad")
+	is.NoErr(d.checkRecords(ctx, stored))
+	clear(store.records)
+	is.NoErr(d.checkRecords(ctx, stored))
+	is.Equal(len(store.records), 0)
+	d.HandleLoss()
+	is.NoErr(d.checkRecords(ctx, stored))
+	is.Equal(len(store.records), 1)
+}
--- a/process/sharer/sharer.go
+++ b/process/sharer/sharer.go
@@ -11,6 +11,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -64,6 +65,8 @@
 	Log    *slog.Logger
 	Meter  *meter.Meter
 
+	// isStoreLost is set if stored records may be gone.
+	isStoreLost atomic.Bool
 	// wake makes Run check the records at once.
 	wake chan struct{}
 
