Gateway: VMs and quarantines are written again after a new era

The list of VMs was compared only every 8 s by hubs and 30 s by others, so that a VM whose entry was lost stayed unlisted that long for daemons that start. A daemon that hears of a new era from the store reads the list at a random time within 8 s and registers again if its entry is missing: 300 daemons make some 40 reads a second.

--- a/process/gateway/logreads.go
+++ b/process/gateway/logreads.go
@@ -97,6 +97,9 @@
 			}
 			deps.Meter.CountEvent(meter.EventLogEra)
 			log.Warn("The log came back from an older copy.", "era-before", before, "era", now)
+			// What this daemon has stored may be gone.
+			g.sharer.HandleLoss()
+			g.vmList.advanceRead(g.Clock.Now(), hubListInterval, g.listInterval())
 		},
 		OnInvalid: func(stated string, known identifier.Era) {
 			deps.Meter.CountEvent(meter.EventInvalidEra)
--- a/process/gateway/vmlist.go
+++ b/process/gateway/vmlist.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -53,6 +54,21 @@
 	return true
 }
 
+// advanceRead makes a read due within a random time up to the given one, so that not all
+// daemons read at once.
+func (t *vmListTracker) advanceRead(now time.Time, within, interval time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lastRead = minTime(t.lastRead, now.Add(rand.N(within)-interval))
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // silentVMs returns the listed VMs without a live daemon for longer than
 // deregisterAfter.
 func (t *vmListTracker) silentVMs(listed []appender.VM, live []heartbeater.Peer, now time.Time) (names []identifier.VMName) {
