Status: reads of the log show the era and offsets apart

From, next and end are offsets now, with the era beside them; a topic that is read anew is logged with its end.

--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -121,7 +121,7 @@
 		if g.isStoreDown.Swap(false) {
 			log.Info("The store is back.", "version", g.Follower.Version().Number)
 		}
-		g.recordRead(topicVersions, LogRead{From: next, Next: batch.NextPosition, End: batch.EndPosition}, batch.Truncated)
+		g.recordRead(topicVersions, next, batch.NextPosition, batch.EndPosition, batch.Truncated)
 		isStuck := !batch.ReachedEnd && batch.NextPosition == next
 		next = batch.NextPosition
 		if batch.Truncated {
@@ -198,7 +198,7 @@
 	if err != nil {
 		return err
 	}
-	g.recordRead(topicEpochs, LogRead{From: from, Next: batch.NextPosition, End: batch.EndPosition}, batch.Truncated)
+	g.recordRead(topicEpochs, from, batch.NextPosition, batch.EndPosition, batch.Truncated)
 	if batch.Truncated {
 		return g.restartEpochs(ctx, log)
 	}
@@ -259,7 +259,7 @@
 			continue
 		}
 		retries = backoff{}
-		g.recordRead(topicUpstreams, LogRead{From: next, Next: batch.NextPosition, End: batch.EndPosition}, batch.Truncated)
+		g.recordRead(topicUpstreams, next, batch.NextPosition, batch.EndPosition, batch.Truncated)
 		isFullRead := next == identifier.NoPosition
 		hasProgressed := batch.NextPosition > next
 		next = batch.NextPosition
--- a/process/gateway/hubs.go
+++ b/process/gateway/hubs.go
@@ -117,7 +117,7 @@
 }
 
 // addMarks adds to a heartbeat which revision of the receiver's roster this daemon
-// has, and up to which offset it knows the upstreams.
+// has, and up to which position it knows the upstreams.
 func (g *Gateway) addMarks(heartbeat *heartbeater.Heartbeat, to identifier.Address) {
 	hub := g.Peers.IncarnationAt(to)
 	heartbeat.Marks = heartbeater.Marks{
--- a/process/gateway/lists.go
+++ b/process/gateway/lists.go
@@ -57,7 +57,7 @@
 	// listRetryDelay is the pause before the next peer is asked.
 	listRetryDelay = 50 * time.Millisecond
 	// noListWanted is the mark of a daemon that wants no update of the list. It is higher
-	// than any offset, so that no daemon has anything to send.
+	// than any position, so that no daemon has anything to send.
 	noListWanted = identifier.Position(math.MaxInt64)
 )
 
@@ -124,7 +124,7 @@
 	return l.provider == address
 }
 
-// upstreamsMark returns the offset up to which this daemon knows the upstreams, for a
+// upstreamsMark returns the position up to which this daemon knows the upstreams, for a
 // heartbeat to a peer. As long as it knows none, it requests the list from one peer only.
 func (g *Gateway) upstreamsMark(to identifier.Address) identifier.Position {
 	known := g.registrar.NextPosition()
@@ -135,7 +135,7 @@
 }
 
 // relayWithinBudget returns a relay of the given roster update and of the changes of the
-// list of upstreams from an offset on. It leaves out what is large while too much of that
+// list of upstreams from a position on. It leaves out what is large while too much of that
 // is being sent.
 func (g *Gateway) relayWithinBudget(roster *heartbeater.RosterUpdate, upstreams identifier.Position) *heartbeater.Relay {
 	relay := &heartbeater.Relay{Roster: roster}
--- a/process/gateway/logreads.go
+++ b/process/gateway/logreads.go
@@ -22,12 +22,15 @@
 
 // LogRead describes the last successful read of a topic.
 type LogRead struct {
-	// From is the offset that was read from, and Next the one to read next.
-	From identifier.Position `json:"from"`
-	Next identifier.Position `json:"next"`
+	// Era is that of the position to read next.
+	Era identifier.Era `json:"era"`
+	// From is the offset that was read from, -1 for the newest records, and Next the one
+	// to read next.
+	From identifier.Offset `json:"from"`
+	Next identifier.Offset `json:"next"`
 	// End is the offset after the newest record, as the log stated it.
-	End   identifier.Position `json:"end"`
-	AgeMs int64               `json:"age-ms"`
+	End   identifier.Offset `json:"end"`
+	AgeMs int64             `json:"age-ms"`
 	at    time.Time
 }
 
@@ -50,13 +53,13 @@
 	l.era = max(l.era, era)
 }
 
-func (l *logReads) record(name topic, read LogRead) {
+func (l *logReads) record(name topic, from, next, end identifier.Position, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.reads == nil {
 		l.reads = make(map[topic]LogRead)
 	}
-	l.reads[name] = read
+	l.reads[name] = LogRead{Era: next.Era(), From: from.Offset(), Next: next.Offset(), End: end.Offset(), at: at}
 }
 
 // status returns the reads with their ages as of now.
@@ -73,12 +76,11 @@
 
 // recordRead records a read of a topic. If the log has not all records from there on, the
 // topic is read anew, which is logged.
-func (g *Gateway) recordRead(name topic, read LogRead, isTruncated bool) {
-	read.at = g.Clock.Now()
-	g.logReads.record(name, read)
+func (g *Gateway) recordRead(name topic, from, next, end identifier.Position, isTruncated bool) {
+	g.logReads.record(name, from, next, end, g.Clock.Now())
 	if isTruncated {
 		g.Meter.CountEvent(meter.EventReadAnew)
-		logger.For(g.Log, logger.Config).Warn("The log has not all records from where this daemon stands; reading anew.", "topic", name, "from", read.From)
+		logger.For(g.Log, logger.Config).Warn("The log has not all records from where this daemon stands; reading anew.", "topic", name, "from", from, "end", end)
 	}
 }
 
--- a/process/gateway/vmlist.go
+++ b/process/gateway/vmlist.go
@@ -59,14 +59,10 @@
 func (t *vmListTracker) advanceRead(now time.Time, within, interval time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lastRead = minTime(t.lastRead, now.Add(rand.N(within)-interval))
-}
-
-func minTime(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
+	latest := now.Add(rand.N(within) - interval)
+	if latest.Before(t.lastRead) {
+		t.lastRead = latest
 	}
-	return a
 }
 
 // silentVMs returns the listed VMs without a live daemon for longer than
--- a/process/heartbeater/heartbeat.go
+++ b/process/heartbeater/heartbeat.go
@@ -38,7 +38,7 @@
 	State    State
 	// Drained is set once the daemon holds no shares any more.
 	Drained bool
-	// Version and Epoch are the log offsets of the daemon's version and epoch.
+	// Version and Epoch are the numbers of the daemon's version and epoch.
 	Version identifier.Offset
 	Epoch   identifier.Position
 	// LogAge is the time since version and epoch were last confirmed to be the
@@ -87,9 +87,9 @@
 	// WantsLeavingOnly is set if the sender needs only the daemons of the roster that
 	// are leaving, because it gets the others from other hubs.
 	WantsLeavingOnly bool
-	// Upstreams is the log offset up to which the list of upstreams is known.
+	// Upstreams is the position in the log up to which the list of upstreams is known.
 	Upstreams identifier.Position
-	// Evacuations is the log offset up to which the evacuated zones are known.
+	// Evacuations is the position in the log up to which the evacuated zones are known.
 	Evacuations identifier.Position
 }
 
