Epochs: another epoch under the number of a lost one is replaced

A proposal may be carried out after the store came back, under the number that an epoch had which the log lost. Holders of the lost epoch ignored the other one as not newer, daemons that had started since took it, and both counted each other as having entered their epoch: two homes of a limit, or one that is dead, until the next change of members. A holder that reads another epoch under its number now counts its own as lost and proposes again. TestOtherEpochWithTheNumberOfALostOneIsReplaced failed before for the newest record (and not for the next one).

--- a/version/epochtracker/epochtracker.go
+++ b/version/epochtracker/epochtracker.go
@@ -102,8 +102,7 @@
 // returns the current epoch and an error.
 func Apply(current Epoch, record Record) (next Epoch, err error) {
 	defer annotator.Annotate(&err, "apply epoch record %s", record.Position)
-	var proposal Proposal
-	err = json.Unmarshal(record.Data, &proposal)
+	proposal, err := record.proposal()
 	if err != nil {
 		return current, err
 	}
@@ -119,6 +118,23 @@
 	return next, nil
 }
 
+func (r Record) proposal() (proposal Proposal, err error) {
+	err = json.Unmarshal(r.Data, &proposal)
+	return proposal, err
+}
+
+// epoch returns the epoch that the record begins if there is no newer one.
+func (r Record) epoch() (Epoch, error) {
+	proposal, err := r.proposal()
+	return proposal.epoch(r.Position), err
+}
+
+// isOtherThan reports whether two epochs have one number and are not the same. A proposal may
+// be carried out under the number of an epoch that the log has lost.
+func (e Epoch) isOtherThan(other Epoch) bool {
+	return e.Number == other.Number && !slices.Equal(e.Members, other.Members)
+}
+
 // epoch returns the epoch that a proposal at a position begins.
 func (p Proposal) epoch(position identifier.Position) Epoch {
 	number := position
@@ -178,8 +194,12 @@
 
 // apply applies a record that was read. The caller holds mu.
 func (t *Tracker) apply(record Record) error {
-	epoch, err := Apply(t.Current(), record)
+	current := t.Current()
+	epoch, err := Apply(current, record)
 	if err != nil {
+		if proposed, parseErr := record.epoch(); parseErr == nil && proposed.isOtherThan(current) {
+			t.newestRead = identifier.NoPosition
+		}
 		return err
 	}
 	t.newestRead = epoch.Number
@@ -207,13 +227,13 @@
 	if newest.Data == nil {
 		return nil
 	}
-	var proposal Proposal
-	err = json.Unmarshal(newest.Data, &proposal)
+	epoch, err := newest.epoch()
 	if err != nil {
 		return err
 	}
-	epoch := proposal.epoch(newest.Position)
-	t.newestRead = epoch.Number
+	if !epoch.isOtherThan(t.Current()) {
+		t.newestRead = epoch.Number
+	}
 	if epoch.Number > t.Current().Number {
 		t.current.Store(&epoch)
 		t.OnChange(epoch)
@@ -222,7 +242,7 @@
 }
 
 // IsLost reports whether the log came back from an older copy that does not have the
-// current epoch.
+// current epoch, or has another one with its number.
 func (t *Tracker) IsLost() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/version/epochtracker/epochtracker_test.go
+++ b/version/epochtracker/epochtracker_test.go
@@ -73,3 +73,39 @@
 	is.NoErr(propose(2, 0))
 	is.Equal(tracker.Current().Number, identifier.Position(2))
 }
+
+// Guards against a fleet that is divided between two epochs with one number: one that the log
+// has lost, and one whose proposal was carried out after it came back.
+func TestOtherEpochWithTheNumberOfALostOneIsReplaced(t *testing.T) {
+	other := record(at(1, 1), at(2, 1), "other")
+	tests := []struct {
+		name string
+		read func(tracker *Tracker) error
+	}{
+		{"as the newest record", func(tracker *Tracker) error { return tracker.Restart(other, at(2, 2)) }},
+		{"as the next record", func(tracker *Tracker) error {
+			err := tracker.Restart(record(at(1, 0), at(2, 0), "a"), at(2, 1))
+			_ = tracker.Handle(other)
+			return err
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			holder, started := New(), New()
+			for _, tracker := range []*Tracker{holder, started} {
+				is.NoErr(tracker.Handle(record(at(1, 0), at(1, 0), "a")))
+			}
+			is.NoErr(holder.Handle(record(at(1, 1), at(1, 1), "lost")))
+			is.NoErr(started.Restart(other, at(2, 2)))
+			is.Equal(started.Current().Members[0].Incarnation, identifier.Incarnation("other"))
+			is.NoErr(test.read(holder))
+			is.True(holder.IsLost())
+			for _, tracker := range []*Tracker{holder, started} {
+				is.NoErr(tracker.Handle(record(at(2, 2), at(2, 2), "lost")))
+				is.Equal(tracker.Current().Members[0].Incarnation, identifier.Incarnation("lost"))
+				is.True(!tracker.IsLost())
+			}
+		})
+	}
+}
