Evacuator: a zone that an older copy lacks is held for 4 s, not 30

The status of four daemons showed zone z evacuated at 2:8 while the log was at era 4: the operator had ended the evacuation after the store came back, which the newest records don't show, as a deleted key has none. Half of the servers stayed unused for 30 s.

The hold is now twice the time within which lost records are back.

--- a/process/evacuator/evacuator.go
+++ b/process/evacuator/evacuator.go
@@ -22,9 +22,10 @@
 	// maxZoneBytes is the maximum length of a zone's name in a record.
 	maxZoneBytes = 255
 	// lostHold is how long a zone stays evacuated after the log came back from an older copy
-	// that does not have its record, unless the operator writes to the zone again. Without
-	// a bound, an evacuation that ended meanwhile would last for good.
-	lostHold = 30 * time.Second
+	// that does not have its record, unless the operator writes to the zone again. It is
+	// twice the time within which lost records of servers are back. The newest records do
+	// not tell an evacuation that was lost from one that has ended since.
+	lostHold = 4 * time.Second
 	// Never is the age of a set that was neither read nor relayed.
 	Never = time.Duration(-1)
 )
