Gateway: a fleet of 6, 80 and 300 daemons across a return of the store

The store's list of upstreams comes back without its newest records, and others are written at their offsets. Within 1.9 s all daemons use what was written and keep what may be back; 4 s later they have dropped what is not.

--- a/process/gateway/fleet_benchmark_test.go
+++ b/process/gateway/fleet_benchmark_test.go
@@ -45,6 +45,8 @@
 	version identifier.Position
 	calls   int
 	records int
+	// era is that of the list of upstreams.
+	era identifier.Era
 }
 
 func newMemoryStore() *memoryStore {
@@ -120,13 +122,17 @@
 
 func (s *memoryStore) readUpstreams(ctx context.Context, from identifier.Position, wait time.Duration) (batch UpstreamBatch, err error) {
 	s.await(ctx, wait, func() bool {
-		if from == identifier.NoPosition {
+		batch.NextPosition = s.nextUpstream()
+		switch {
+		case from == identifier.NoPosition:
 			batch.Changes = slices.Collect(maps.Values(s.newest))
-		} else {
-			batch.Changes = slices.Clone(s.upstreams[min(len(s.upstreams), int(from)):])
+		case from.Era() != s.era:
+			batch.Truncated = true
+			return true
+		default:
+			batch.Changes = slices.Clone(s.upstreams[min(len(s.upstreams), int(from.Offset())):])
 		}
 		s.records += len(batch.Changes)
-		batch.NextPosition = identifier.Position(len(s.upstreams))
 		batch.ReachedEnd = true
 		return len(batch.Changes) > 0
 	})
@@ -153,7 +159,7 @@
 
 // put appends a record of an upstream. The caller holds the lock.
 func (s *memoryStore) put(entry registrar.Entry) {
-	entry.Position = identifier.Position(len(s.upstreams))
+	entry.Position = s.nextUpstream()
 	change := UpstreamChange{Name: entry.Name, Position: entry.Position, Entry: entry}
 	s.upstreams = append(s.upstreams, change)
 	s.newest[entry.Name] = change
@@ -161,10 +167,31 @@
 
 // remove appends the removal of an upstream. The caller holds the lock.
 func (s *memoryStore) remove(name identifier.UpstreamName) {
-	s.upstreams = append(s.upstreams, UpstreamChange{Name: name, Position: identifier.Position(len(s.upstreams)), Deleted: true})
+	s.upstreams = append(s.upstreams, UpstreamChange{Name: name, Position: s.nextUpstream(), Deleted: true})
 	delete(s.newest, name)
 }
 
+func (s *memoryStore) nextUpstream() identifier.Position {
+	return identifier.NewPosition(s.era, identifier.Offset(len(s.upstreams)))
+}
+
+// loseUpstreams lets the store come back from a copy without the newest records of
+// upstreams, none of which replaced an earlier one. The caller holds the lock.
+func (s *memoryStore) loseUpstreams(count int) {
+	s.era++
+	end := len(s.upstreams) - count
+	for _, lost := range s.upstreams[end:] {
+		delete(s.newest, lost.Name)
+	}
+	s.upstreams = s.upstreams[:end]
+	for i := range s.upstreams {
+		change := &s.upstreams[i]
+		change.Position = identifier.NewPosition(s.era, identifier.Offset(i))
+		change.Entry.Position = change.Position
+		s.newest[change.Name] = *change
+	}
+}
+
 // benchmarkService is the service whose requests the benchmark places.
 const benchmarkService = identifier.ServiceName("llm")
 
--- /dev/null
+++ b/process/gateway/oldercopy_test.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against daemons that do not know a new server, or all read the store at once, after it
+// came back from a copy and gave offsets out again. The rates are those of deployments of the
+// sizes.
+func TestReturnOfTheStoreIsKnownAndCheapInAnyFleet(t *testing.T) {
+	tests := []struct {
+		daemons        int
+		readsPerSecond int
+	}{
+		{6, 2000},
+		{80, 6000},
+		{300, 16_000},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				rig := newFleetRig(test.daemons, 1)
+				defer rig.killAll()
+				for i := range rig.size {
+					rig.start(i)
+				}
+				_, ok := rig.awaitServing(rigServingLimit)
+				is.True(ok)
+				time.Sleep(5 * time.Second)
+				const lost = 3
+				store := rig.store
+				store.mu.Lock()
+				for i := range lost {
+					store.put(rigUpstream(i, 1))
+				}
+				store.mu.Unlock()
+				time.Sleep(2 * time.Second)
+				store.mu.Lock()
+				store.loseUpstreams(lost)
+				for i := range lost {
+					store.put(rigUpstream(lost+i, 1))
+				}
+				store.calls = 0
+				store.mu.Unlock()
+				time.Sleep(1900 * time.Millisecond)
+				store.mu.Lock()
+				calls := store.calls
+				store.mu.Unlock()
+				t.Logf("%d calls within 2 s", calls)
+				is.True(calls < test.readsPerSecond) // of two seconds
+				for _, daemon := range rig.reachable() {
+					is.True(daemon.registrar.IsReady(rigUpstream(lost, 1))) // written at a reused offset
+					is.True(daemon.registrar.IsReady(rigUpstream(0, 1)))    // lost, and may be back
+				}
+				time.Sleep(4 * time.Second)
+				for _, daemon := range rig.reachable() {
+					daemon.registrar.IsReady(rigUpstream(0, 1)) // as each request asks, which carries out removals that are due
+				}
+				time.Sleep(time.Second)
+				for _, daemon := range rig.reachable() {
+					is.True(!daemon.registrar.IsReady(rigUpstream(0, 1)))
+				}
+			})
+		})
+	}
+}
