Evacuator: a hold of a lost evacuation begins once

Callers could see a zone without requests for longer than the 4 s for which an evacuation is held whose record the store lost when it came back from an older copy: a daemon whose hold had ended got the zone again in the relay of one whose hold had not, and held it for another 4 s, and so on, if the operator wrote something else meanwhile. The hold was kept by the zone and forgotten with it. Now it is kept by the record and the era, also after it ended.

--- a/process/evacuator/evacuator.go
+++ b/process/evacuator/evacuator.go
@@ -36,6 +36,14 @@
 	Position identifier.Position `json:"offset"`
 }
 
+// lostRecord is the record of an evacuation that the log did not have when an era began. The
+// zone stays evacuated until a time.
+type lostRecord struct {
+	position identifier.Position
+	era      identifier.Era
+	until    time.Time
+}
+
 // Change is one record of the store about a zone.
 type Change struct {
 	Evacuation
@@ -83,8 +91,9 @@
 	mu sync.Mutex
 	// zones maps the evacuated zones to the positions of their records.
 	zones map[identifier.ZoneName]identifier.Position
-	// heldUntil holds the zones that are only kept for lostHold.
-	heldUntil map[identifier.ZoneName]time.Time
+	// lost holds the zones whose records the log lost, also after their holds ended, so that
+	// no relay begins them anew.
+	lost map[identifier.ZoneName]lostRecord
 	// nextPosition is the position up to which the set is known, or NoPosition.
 	nextPosition identifier.Position
 	// asOf is when the set was last known to be complete.
@@ -101,7 +110,7 @@
 		MaxCutOffAge: func() time.Duration { return 0 },
 		clock:        clock,
 		zones:        make(map[identifier.ZoneName]identifier.Position),
-		heldUntil:    make(map[identifier.ZoneName]time.Time),
+		lost:         make(map[identifier.ZoneName]lostRecord),
 		nextPosition: identifier.NoPosition,
 	}
 }
@@ -194,20 +203,20 @@
 func (e *Evacuator) dropLost(zones map[identifier.ZoneName]identifier.Position, era identifier.Era) {
 	now := e.clock.Now()
 	for zone, position := range zones {
-		until, isHeld := e.heldUntil[zone]
-		switch {
-		case position.Era() >= era:
-			delete(e.heldUntil, zone)
-		case !isHeld:
-			e.heldUntil[zone] = now.Add(lostHold)
-		case !now.Before(until):
+		if position.Era() >= era {
+			delete(e.lost, zone)
+			continue
+		}
+		lost := e.lost[zone]
+		if lost.position != position || lost.era != era {
+			lost = lostRecord{position: position, era: era, until: now.Add(lostHold)}
+			e.lost[zone] = lost
+		}
+		if !now.Before(lost.until) {
 			delete(zones, zone)
 		}
 	}
-	maps.DeleteFunc(e.heldUntil, func(zone identifier.ZoneName, _ time.Time) bool {
-		_, isEvacuated := zones[zone]
-		return !isEvacuated
-	})
+	maps.DeleteFunc(e.lost, func(_ identifier.ZoneName, lost lostRecord) bool { return lost.era < era })
 }
 
 // replace sets the zones as of a position and returns what changed. The caller holds the
--- a/process/evacuator/evacuator_test.go
+++ b/process/evacuator/evacuator_test.go
@@ -207,3 +207,44 @@
 	is.True(evacuated("again"))
 	is.True(!evacuated("lost")) // the operator did not write it again
 }
+
+// Guards against daemons that keep a zone evacuated whose record the log lost, because each
+// hears of it from another one after its own hold has ended.
+func TestLostEvacuationIsNotKeptByRelays(t *testing.T) {
+	in := identifier.NewPosition
+	for seed := range uint64(100) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		clock := clockwork.NewFakeClock()
+		daemons := []*Evacuator{New(clock), New(clock), New(clock)}
+		next := in(2, 3)
+		read := func(e *Evacuator) {
+			e.ApplyRead(Read{NextPosition: next, IsSnapshot: e.NextPosition().Era() < next.Era(), ReachedEnd: true, AsOf: clock.Now()})
+		}
+		for _, e := range daemons {
+			e.ApplyRead(Read{Changes: []Change{evacuated("z", in(1, 4))}, NextPosition: in(1, 5), IsSnapshot: true, ReachedEnd: true, AsOf: clock.Now()})
+		}
+		for _, e := range daemons {
+			read(e)
+			clock.Advance(300 * time.Millisecond)
+		}
+		returnedAt := clock.Now()
+		for clock.Since(returnedAt) < lostHold+time.Second {
+			i, j := random.IntN(3), random.IntN(3)
+			switch random.IntN(3) {
+			case 0:
+				next++ // the operator writes something else
+			case 1:
+				read(daemons[i])
+			default:
+				daemons[j].ApplyRelay(*daemons[i].RelaySince(daemons[j].NextPosition()))
+			}
+			clock.Advance(100 * time.Millisecond)
+		}
+		for i, e := range daemons {
+			read(e)
+			if e.IsEvacuated("z") {
+				t.Fatalf("seed %d: daemon %d holds the zone %s after the return", seed, i, clock.Since(returnedAt))
+			}
+		}
+	}
+}
