Evacuator: a daemon that starts on an older copy hears of lost evacuations

A daemon that starts between the return of the store from an older copy and the operator's next write sent requests to a zone that was evacuated, though all its peers held the evacuation: it had read up to where they had, so that their relays listed no zones. Now a relay lists a zone whose record the log lost as long as it is held, with the time left (held_ms of the peer protocol; daemons of earlier builds ignore it). The receiver holds it no longer than the sender, and not again if it did before or has read that the operator ended the evacuation.

TestDaemonThatStartsOnAnOlderCopyHearsOfTheLostEvacuation fails without the listed zones, and TestEndOfALostEvacuationIsNotUndoneByAPeer without endHold.

--- a/connection/messenger/evacuations.go
+++ b/connection/messenger/evacuations.go
@@ -16,7 +16,9 @@
 	msg.EvacuationsOffset = int64(relay.NextPosition)
 	msg.EvacuationsAgeMs = encodeAge(relay.Age)
 	for _, evacuation := range relay.Evacuations {
-		msg.Evacuations = append(msg.Evacuations, &peerv1.Evacuation{Zone: string(evacuation.Zone), Offset: int64(evacuation.Position)})
+		msg.Evacuations = append(msg.Evacuations, &peerv1.Evacuation{
+			Zone: string(evacuation.Zone), Offset: int64(evacuation.Position), HeldMs: evacuation.HeldFor.Milliseconds(),
+		})
 	}
 }
 
@@ -26,7 +28,11 @@
 	}
 	relay := &evacuator.Relay{NextPosition: identifier.Position(msg.GetEvacuationsOffset()), Age: decodeAge(msg.GetEvacuationsAgeMs())}
 	for _, evacuation := range msg.GetEvacuations() {
-		relay.Evacuations = append(relay.Evacuations, evacuator.Evacuation{Zone: identifier.ZoneName(evacuation.GetZone()), Position: identifier.Position(evacuation.GetOffset())})
+		relay.Evacuations = append(relay.Evacuations, evacuator.Evacuation{
+			Zone:     identifier.ZoneName(evacuation.GetZone()),
+			Position: identifier.Position(evacuation.GetOffset()),
+			HeldFor:  decodeAge(evacuation.GetHeldMs()),
+		})
 	}
 	return relay
 }
--- a/process/evacuator/evacuator.go
+++ b/process/evacuator/evacuator.go
@@ -34,6 +34,9 @@
 type Evacuation struct {
 	Zone     identifier.ZoneName `json:"zone"`
 	Position identifier.Position `json:"offset"`
+	// HeldFor is how much longer the zone stays evacuated if the log lost the record, and
+	// zero otherwise. Only relays state it.
+	HeldFor time.Duration `json:"-"`
 }
 
 // lostRecord is the record of an evacuation that the log did not have when an era began. The
@@ -147,6 +150,7 @@
 		switch {
 		case !read.IsSnapshot && change.Position < e.nextPosition:
 		case change.IsRevoked:
+			e.endHold(zones, change)
 			delete(zones, change.Zone)
 		default:
 			zones[change.Zone] = change.Position
@@ -180,12 +184,18 @@
 		return
 	}
 	zones := maps.Clone(e.zones)
-	if relay.NextPosition > e.nextPosition {
+	isNews := relay.NextPosition > e.nextPosition
+	if isNews {
 		clear(zones)
-		for _, evacuation := range relay.Evacuations {
-			if CheckZone(evacuation.Zone) == nil {
-				zones[evacuation.Zone] = evacuation.Position
-			}
+	}
+	for _, evacuation := range relay.Evacuations {
+		if CheckZone(evacuation.Zone) != nil {
+			continue
+		}
+		if evacuation.HeldFor > 0 {
+			e.addLost(zones, evacuation, relay.NextPosition.Era(), sentAt)
+		} else if isNews {
+			zones[evacuation.Zone] = evacuation.Position
 		}
 	}
 	changes := e.replace(zones, relay.NextPosition)
@@ -197,6 +207,22 @@
 	e.announce(changes, true)
 }
 
+// addLost adds a zone whose record the log did not have when an era began, as another daemon
+// said at a time. It stays evacuated no longer than there, and no longer than this daemon has
+// held it. The caller holds the lock.
+func (e *Evacuator) addLost(zones map[identifier.ZoneName]identifier.Position, evacuation Evacuation, era identifier.Era, sentAt time.Time) {
+	_, isEvacuated := zones[evacuation.Zone]
+	if isEvacuated || evacuation.Position.Era() >= era {
+		return
+	}
+	zones[evacuation.Zone] = evacuation.Position
+	known := e.lost[evacuation.Zone]
+	if known.position != evacuation.Position || known.era != era {
+		until := sentAt.Add(min(evacuation.HeldFor, lostHold))
+		e.lost[evacuation.Zone] = lostRecord{position: evacuation.Position, era: era, until: until}
+	}
+}
+
 // dropLost removes the zones that were evacuated before the log came back from an older copy
 // in an era, and whose records it did not have again within lostHold. The caller holds the
 // lock.
@@ -219,6 +245,15 @@
 	maps.DeleteFunc(e.lost, func(_ identifier.ZoneName, lost lostRecord) bool { return lost.era < era })
 }
 
+// endHold ends the hold of a zone whose evacuation the operator ended, so that no relay begins
+// it again. The caller holds the lock.
+func (e *Evacuator) endHold(zones map[identifier.ZoneName]identifier.Position, end Change) {
+	position, isEvacuated := zones[end.Zone]
+	if isEvacuated && position.Era() < end.Position.Era() {
+		e.lost[end.Zone] = lostRecord{position: position, era: end.Position.Era(), until: e.clock.Now()}
+	}
+}
+
 // replace sets the zones as of a position and returns what changed. The caller holds the
 // lock.
 func (e *Evacuator) replace(zones map[identifier.ZoneName]identifier.Position, nextPosition identifier.Position) (changes []Change) {
@@ -247,8 +282,9 @@
 	}
 }
 
-// RelaySince returns the set to relay to a daemon that knows it up to a position, without
-// the zones if that daemon knows them. It returns nil while nothing is known.
+// RelaySince returns the set to relay to a daemon that knows it up to a position. If that daemon
+// knows the zones, only those are listed whose records the log lost, which it can't read. It
+// returns nil while nothing is known.
 func (e *Evacuator) RelaySince(known identifier.Position) *Relay {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -256,8 +292,15 @@
 		return nil
 	}
 	relay := &Relay{NextPosition: e.nextPosition, Age: max(0, e.clock.Since(e.asOf))}
-	if known != e.nextPosition {
-		relay.Evacuations = e.sorted()
+	now := e.clock.Now()
+	for _, evacuation := range e.sorted() {
+		isHeld := evacuation.Position.Era() < e.nextPosition.Era()
+		if isHeld {
+			evacuation.HeldFor = e.lost[evacuation.Zone].until.Sub(now)
+		}
+		if evacuation.HeldFor >= time.Millisecond || !isHeld && known != e.nextPosition {
+			relay.Evacuations = append(relay.Evacuations, evacuation)
+		}
 	}
 	return relay
 }
--- a/process/evacuator/evacuator_test.go
+++ b/process/evacuator/evacuator_test.go
@@ -248,3 +248,50 @@
 		}
 	}
 }
+
+// Guards against requests to an evacuated zone from a daemon that starts on an older copy, while
+// its peers still hold the evacuation that the copy lacks.
+func TestDaemonThatStartsOnAnOlderCopyHearsOfTheLostEvacuation(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	in := identifier.NewPosition
+	snapshot := func(e *Evacuator, next identifier.Position, changes ...Change) {
+		e.ApplyRead(Read{Changes: changes, NextPosition: next, IsSnapshot: true, ReachedEnd: true, AsOf: clock.Now()})
+	}
+	peer, started, later := New(clock), New(clock), New(clock)
+	relay := func(from, to *Evacuator) { to.ApplyRelay(*from.RelaySince(to.NextPosition())) }
+	snapshot(peer, in(1, 5), evacuated("z", in(1, 4)))
+	snapshot(peer, in(2, 4))
+	clock.Advance(lostHold - time.Second)
+	snapshot(started, in(2, 4))
+	is.True(!started.IsEvacuated("z"))
+	relay(peer, started)
+	is.True(started.IsEvacuated("z"))
+	clock.Advance(time.Second / 2)
+	snapshot(later, in(2, 3))
+	relay(started, later) // tells it the rest of the time, with the later position
+	is.True(later.IsEvacuated("z"))
+	clock.Advance(time.Second / 2)
+	for _, e := range []*Evacuator{peer, started, later} {
+		e.ApplyRead(Read{NextPosition: in(2, 4), ReachedEnd: true, AsOf: clock.Now()})
+		is.True(!e.IsEvacuated("z"))
+	}
+	relay(started, peer)
+	is.True(!peer.IsEvacuated("z"))
+}
+
+// Guards against a zone that is evacuated again, although the operator ended that, because another
+// daemon that has not read the end still holds it.
+func TestEndOfALostEvacuationIsNotUndoneByAPeer(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	in := identifier.NewPosition
+	e := New(clock)
+	e.ApplyRead(Read{Changes: []Change{evacuated("z", in(1, 4))}, NextPosition: in(1, 5), IsSnapshot: true})
+	e.ApplyRead(Read{NextPosition: in(2, 4), IsSnapshot: true})
+	e.ApplyRead(Read{Changes: []Change{revoked("z", in(2, 4))}, NextPosition: in(2, 5)})
+	is.True(!e.IsEvacuated("z"))
+	// The peer read the newest records only after the end.
+	e.ApplyRelay(Relay{NextPosition: in(2, 5), Evacuations: []Evacuation{{Zone: "z", Position: in(1, 4), HeldFor: time.Second}}})
+	is.True(!e.IsEvacuated("z"))
+}
