Proposer: a refused proposal names the epoch as other lines do

On a log with eras the warning "Cannot propose an epoch." named the epoch as one number of era and offset, while all other lines write 2:7, so that on-call engineers could not match them. TestRefusedProposalNamesTheEpochAsOtherLinesDo failed before.

--- a/process/proposer/proposer.go
+++ b/process/proposer/proposer.go
@@ -364,7 +364,7 @@
 }
 
 func (p *Proposer) propose(ctx context.Context, epoch epochtracker.Epoch) (err error) {
-	defer annotator.Annotate(&err, "propose after epoch %d", epoch.Number)
+	defer annotator.Annotate(&err, "propose after epoch %s", epoch.Number)
 	proposal := epochtracker.Proposal{BasedOn: epoch.Number, Members: p.target}
 	for _, member := range epoch.Members {
 		proof := p.goneProof(member)
--- a/process/proposer/proposer_test.go
+++ b/process/proposer/proposer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"testing"
 	"time"
 
@@ -223,3 +224,15 @@
 	p.run(3*time.Second, "b", "c")
 	is.Equal(len(p.proposed), 1) // it is in the log now
 }
+
+// Guards against a log line whose epoch can't be found in the other lines, as it mixes era and
+// offset in one number.
+func TestRefusedProposalNamesTheEpochAsOtherLinesDo(t *testing.T) {
+	is := is.New(t)
+	p := newTestProposer("a", "a", "b")
+	p.AppendAt = func(context.Context, []byte, identifier.Position) (identifier.Position, error) {
+		return 0, errors.New("refused")
+	}
+	err := p.propose(context.Background(), epochtracker.Epoch{Number: identifier.NewPosition(2, 7)})
+	is.Equal(err.Error(), "propose after epoch 2:7: refused")
+}
