Logs: when a daemon has read a topic again after the log came back

After the store came back from an older copy the logs told that topics are read anew, but not when that was done, so that on-call engineers could not tell how long a daemon had acted on what it knew. Each topic's first read in the new era now has a line with the position and the time since the daemon learned of the era; explain shows it.

--- a/process/explainer/explainer.go
+++ b/process/explainer/explainer.go
@@ -29,7 +29,7 @@
 	"left out of the epoch", "The home of a workspace", "The daemon that places",
 	"The daemon that admits", "The way in which servers are chosen", "is assumed to have fewer slots",
 	"An address has another", "Connections were closed.", "The settings", "The share of requests between zones", "Leaving.", "Started.", "Stopped.",
-	"The log came back from an older copy", "The log has not all records", "The log lost the epoch", "A version that was read is older",
+	"The log came back from an older copy", "The log has not all records", "A topic was read after the log came back", "The log lost the epoch", "A version that was read is older",
 	"A response of the log states no valid era", "Cannot propose an epoch", "A record of an upstream was carried out late", "The removal of an upstream is deferred",
 	"A zone is evacuated", "The evacuation of a zone", "Upstreams are cold", "Upstreams are warm",
 }
--- a/process/explainer/explainer_test.go
+++ b/process/explainer/explainer_test.go
@@ -63,6 +63,7 @@
 	const log = `
 time=2026-01-01T00:00:01.000Z level=WARN msg="config: The log came back from an older copy." era-before=1 era=2
 time=2026-01-01T00:00:01.100Z level=WARN msg="config: The log has not all records from where this daemon stands; reading anew." topic=versions from=1:7 end=2:5
+time=2026-01-01T00:00:01.200Z level=INFO msg="config: A topic was read after the log came back." topic=versions next=2:5 ms=200
 time=2026-01-01T00:00:01.200Z level=INFO msg="config: A version that was read is older than the one in force." version=4 in-force=6
 time=2026-01-01T00:00:01.300Z level=WARN msg="shares: Cannot propose an epoch." err="propose after epoch 1:2: append to epochs: the topic ends elsewhere, at 2:2 and not at 1:3"
 time=2026-01-01T00:00:02.000Z level=INFO msg="request: Refused." id=abc code=unknown-route status=404 not-run=true version=6 ms=0 reason="no route"
@@ -72,5 +73,5 @@
 	is.NoErr(e.Read("vm-1", strings.NewReader(log)))
 	explanation, ok := e.Explain()
 	is.True(ok)
-	is.Equal(len(explanation.StateChanges), 4)
+	is.Equal(len(explanation.StateChanges), 5)
 }
--- a/process/gateway/logreads.go
+++ b/process/gateway/logreads.go
@@ -42,24 +42,32 @@
 
 // logReads records where this daemon stands in the log. It is safe for concurrent use.
 type logReads struct {
-	mu    sync.Mutex
-	era   identifier.Era
-	reads map[topic]LogRead
+	mu  sync.Mutex
+	era identifier.Era
+	// eraSince is when this daemon learned of the era.
+	eraSince time.Time
+	reads    map[topic]LogRead
 }
 
-func (l *logReads) setEra(era identifier.Era) {
+func (l *logReads) setEra(era identifier.Era, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.era = max(l.era, era)
+	if era > l.era {
+		l.era, l.eraSince = era, now
+	}
 }
 
-func (l *logReads) record(name topic, from, next, end identifier.Position, at time.Time) {
+// record records a read. If it is the first one of a topic in a later era than before, isFirst
+// is set, and took is the time since this daemon learned of the era.
+func (l *logReads) record(name topic, from, next, end identifier.Position, at time.Time) (took time.Duration, isFirst bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.reads == nil {
 		l.reads = make(map[topic]LogRead)
 	}
+	before := l.reads[name].Era
 	l.reads[name] = LogRead{Era: next.Era(), From: from.Offset(), Next: next.Offset(), End: end.Offset(), at: at}
+	return at.Sub(l.eraSince), before > 0 && next.Era() > before
 }
 
 // status returns the reads with their ages as of now.
@@ -77,10 +85,14 @@
 // recordRead records a read of a topic. If the log has not all records from there on, the
 // topic is read anew, which is logged.
 func (g *Gateway) recordRead(name topic, from, next, end identifier.Position, isTruncated bool) {
-	g.logReads.record(name, from, next, end, g.Clock.Now())
+	took, isFirst := g.logReads.record(name, from, next, end, g.Clock.Now())
+	log := logger.For(g.Log, logger.Config)
+	if isFirst {
+		log.Info("A topic was read after the log came back.", "topic", name, "next", next, "ms", took.Milliseconds())
+	}
 	if isTruncated {
 		g.Meter.CountEvent(meter.EventReadAnew)
-		logger.For(g.Log, logger.Config).Warn("The log has not all records from where this daemon stands; reading anew.", "topic", name, "from", from, "end", end)
+		log.Warn("The log has not all records from where this daemon stands; reading anew.", "topic", name, "from", from, "end", end)
 	}
 }
 
@@ -92,7 +104,7 @@
 	log := logger.For(deps.Log, logger.Config)
 	g.drivers.WatchEra(EraWatcher{
 		OnChange: func(before, now identifier.Era) {
-			g.logReads.setEra(now)
+			g.logReads.setEra(now, g.Clock.Now())
 			if before == 0 {
 				log.Info("The log states its era.", "era", now)
 				return
