--- a/process/gateway/oldercopy_test.go
+++ b/process/gateway/oldercopy_test.go
@@ -25,14 +25,8 @@
 		t.Run(fmt.Sprint(test.daemons), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				rig := newFleetRig(test.daemons, rigUpstreamsPerDaemon)
+				rig := startedRig(t, test.daemons)
 				defer rig.killAll()
-				for i := range rig.size {
-					rig.start(i)
-				}
-				_, ok := rig.awaitServing(rigServingLimit)
-				is.True(ok)
-				time.Sleep(5 * time.Second)
 				const lost = 3
 				store := rig.store
 				store.mu.Lock()
--- a/process/sharer/records_test.go
+++ b/process/sharer/records_test.go
@@ -60,6 +60,15 @@
 	return newStoredRecords()
 }
 
+// newPlacingDaemon returns a daemon that places the requests and stores its records.
+func newPlacingDaemon() (store *testStore, d *testDaemon, stored *storedRecords) {
+	store = newTestStore()
+	d = newTestDaemon(0)
+	stored = store.use(d)
+	d.isPlacing = true
+	return store, d, stored
+}
+
 // counts returns the number of calls of each kind.
 func (s *testStore) counts() [3]int {
 	s.mu.Lock()
@@ -197,10 +206,7 @@
 func TestFailedWriteIsRetried(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	store := newTestStore()
-	d := newTestDaemon(0)
-	stored := store.use(d)
-	d.isPlacing = true
+	store, d, stored := newPlacingDaemon()
 	is.NoErr(d.checkRecords(ctx, stored))
 	store.setErr(errStoreAway)
 	d.crash("bad")
@@ -246,10 +252,7 @@
 func TestRecordsOfPartsBeyondTheReportAreKept(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	store := newTestStore()
-	d := newTestDaemon(0)
-	stored := store.use(d)
-	d.isPlacing = true
+	store, d, stored := newPlacingDaemon()
 	for i := range maxReported + 1 {
 		part := identifier.PromptPartID(fmt.Sprint(i))
 		d.crash(part)
@@ -266,10 +269,7 @@
 func TestLostRecordIsStoredAgain(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	store := newTestStore()
-	d := newTestDaemon(0)
-	stored := store.use(d)
-	d.isPlacing = true
+	store, d, stored := newPlacingDaemon()
 	d.crash("bad")
 	d.crash("bad")
 	d.quarantine("bad")
