--- a/process/gateway/fleet_benchmark_test.go
+++ b/process/gateway/fleet_benchmark_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -257,9 +258,23 @@
 	return startFleetWith(tb, count, store.drivers(), func(*configurer.Gateway) {})
 }
 
+// claimLoopbackNetworks returns the first of networksPerProcess networks of loopback hosts that
+// no other test process uses. The listener keeps them for this process.
+var claimLoopbackNetworks = sync.OnceValues(func() (first int, claim net.Listener) {
+	const networksPerProcess = 8
+	for first := 1; first+networksPerProcess <= 255; first += networksPerProcess {
+		claim, err := net.Listen("tcp", fmt.Sprintf("127.40.%d.254:7999", first))
+		if err == nil {
+			return first, claim
+		}
+	}
+	panic("all loopback networks are in use")
+})
+
 // startFleetWith is startFleet with other drivers and settings.
 func startFleetWith(tb testing.TB, count int, drivers Drivers, adjust func(*configurer.Gateway)) (daemons []*Gateway) {
 	tb.Helper()
+	firstNetwork, _ := claimLoopbackNetworks()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	tb.Cleanup(func() {
@@ -267,7 +282,7 @@
 		running.Wait()
 	})
 	for i := range count {
-		host := fmt.Sprintf("127.%d.%d.%d", 40+count%7, 1+i/200, 1+i%200)
+		host := fmt.Sprintf("127.%d.%d.%d", 40+count%7, firstNetwork+i/200, 1+i%200)
 		address := func(port int) identifier.Address { return identifier.Address(fmt.Sprintf("%s:%d", host, port)) }
 		settings := configurer.Settings{
 			VM: identifier.VMName(fmt.Sprintf("vm-%03d", i)), Zone: identifier.ZoneName(fmt.Sprintf("z-%d", i%3)), LogAddress: address(1),
